Give clients' connections phases, and shutdown, departures and halves their time

At fault: main.rs DRAINED, 3.6 s after SIGTERM whatever is owed. Reading server.rs for the same: `rest` ran before the answer was written, so that a second `close` cut a slow reader off; `evict` forgot connections that may get a request at that moment; a half-sent body had its whole budget; HTTP reads no further while bytes lie behind a request, so a client that then left went unnoticed, and where attempts may not be cancelled its request was sent on. driver.rs let timers run before happenings that were there. upstream.rs sent on a kept connection also with no time left. Cleared by a test: an answer that has come with the time-out of the same moment wins already. Remedy: client.rs owns what a connection is at, until its last byte is written, and reads ahead to see its client go. A connection told to close counts until it has. A shutdown lets nobody in after 0.65 s and ends with the last connection, by the settings' longest deadline. The driver empties its queue first, and tells an attempt that nobody waits for it: what is not all written then never is.

--- a/src/bin/juniperspoke/config.rs
+++ b/src/bin/juniperspoke/config.rs
@@ -1,14 +1,18 @@
 //! What a sidecar is told at its start: the environment and its JSON into typed values.
 
-use micapier::api::Settings;
+use micapier::api::{Class, Settings};
 use micapier::settings::{self, SettingError, Surroundings};
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::time::Duration;
 use std::{env, fs, io};
 
 /// The most descriptors where the configuration names no limit.
 const SOCKETS: usize = 1_024;
 
+/// The longest that a client may wait where its class names no deadline.
+const LONGEST: Duration = Duration::from_secs(60);
+
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
     #[error("BALANCER_CONFIG is not set")]
@@ -52,6 +56,11 @@
         Ok(config.discovery)
     }
 
+    /// The longest that any client waits.
+    pub fn longest(&self) -> Duration {
+        self.settings.classes.iter().map(patience).max().unwrap_or(LONGEST)
+    }
+
     /// The environment wins over the JSON where both name a value.
     pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let json: Value = serde_json::from_str(text)?;
@@ -80,6 +89,11 @@
     }
 }
 
+/// How long a client of this class waits at most.
+pub fn patience(of: &Class) -> Duration {
+    if of.deadline.is_zero() { LONGEST } else { of.deadline }
+}
+
 /// Names are compared in the form that they have in the flat settings.
 pub fn flat_name(text: &str) -> String {
     text.replace([' ', ',', '\n', '\r'], "_")
@@ -109,7 +123,6 @@
 #[cfg(test)]
 pub mod tests {
     use super::*;
-    use std::time::Duration;
 
     pub const JSON: &str = r#"{"name":"n3","listen":"127.0.0.1:9000","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
         "limits":{"sockets":300},"settings":{"areas":["a b","c"],"zone":1,"discovery":"pushed","orgs":[],
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -78,6 +78,12 @@
 }
 
 impl Handle {
+    pub fn new() -> (Handle, mpsc::UnboundedReceiver<Happening>) {
+        let (to, from) = mpsc::unbounded_channel();
+        let (next_id, ready) = Default::default();
+        (Handle { to, next_id, ready }, from)
+    }
+
     pub fn tell(&self, happening: Happening) {
         // Without a driver the process is about to end.
         drop(self.to.send(happening));
@@ -105,7 +111,14 @@
     /// Gone once the client has its answer or has left.
     answer: Option<oneshot::Sender<Answer>>,
     /// When each was sent, and how to stop it while it is out.
-    attempts: Vec<(Instant, Option<AbortHandle>)>,
+    attempts: Vec<(Instant, Option<Out>)>,
+}
+
+/// An attempt that has not ended.
+struct Out {
+    task: AbortHandle,
+    /// Tells it that nobody waits for it: what is not all written by now never is.
+    unwanted: Arc<Notify>,
 }
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
@@ -133,9 +146,7 @@
 
 impl Driver {
     pub fn new(config: Arc<Config>, pool: Pool, subscribe: Arc<Notify>) -> (Driver, Handle) {
-        let (to, from) = mpsc::unbounded_channel();
-        let (next_id, ready) = Default::default();
-        let handle = Handle { to, next_id, ready };
+        let (handle, from) = Handle::new();
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let driver = Driver {
             balancer: Balancer::new(config.settings.clone(), config.seed),
@@ -159,6 +170,13 @@
         let lines = known.map_or(Vec::new(), |known| self.take_over(known).1);
         self.handle_event(Event::List(ListNews::Cached(lines)));
         loop {
+            // Guards against a time that is over before what had happened by then is known: an answer that is already
+            // there beats its time-out, and a client that has left beats a timer that would send for it.
+            for _ in 0..self.from.len() {
+                if let Ok(happening) = self.from.try_recv() {
+                    self.happen(happening);
+                }
+            }
             self.fire();
             let next = self.timers.peek().map(|Reverse((at, _))| *at);
             let due = async {
@@ -203,8 +221,11 @@
         match happening {
             Happening::Request(id, inbound, answer) => self.accept(id, *inbound, answer),
             Happening::HungUp(id) => {
-                let owed = self.requests.get_mut(&id).and_then(|owed| owed.answer.take());
-                if owed.is_some() {
+                if let Some(owed) = self.requests.get_mut(&id)
+                    && owed.answer.take().is_some()
+                {
+                    // Also where the module may not cancel: what has not been sent needs no leave to stay.
+                    owed.attempts.iter().flat_map(|a| &a.1).for_each(|out| out.unwanted.notify_one());
                     self.handle_event(Event::HungUp(id));
                     self.forget(id);
                 }
@@ -296,7 +317,7 @@
             Action::Cancel { id, attempt } => {
                 let owed = self.requests.get_mut(&id)?;
                 let (sent, out) = owed.attempts.get_mut(attempt)?;
-                out.take()?.abort();
+                out.take()?.task.abort();
                 let took = sent.elapsed();
                 let progress = if owed.answer.is_some() { Progress::Owed } else { Progress::Ended };
                 self.forget(id);
@@ -347,9 +368,11 @@
         };
         let handle = self.handle.clone();
         let answered = move |outcome, served| handle.tell(Happening::Attempt(id, attempt, outcome, served));
-        let task =
-            upstream::attempt(self.pool.clone(), target, owed.outbound.clone(), now + timeout, answered);
-        owed.attempts.push((now, Some(tokio::spawn(task).abort_handle())));
+        let (unwanted, outbound) = (Arc::<Notify>::default(), owed.outbound.clone());
+        let by = now + timeout;
+        let task = upstream::attempt(self.pool.clone(), target, outbound, by, unwanted.clone(), answered);
+        let task = tokio::spawn(task).abort_handle();
+        owed.attempts.push((now, Some(Out { task, unwanted })));
         None
     }
 
@@ -399,24 +422,85 @@
 
     #[tokio::test]
     async fn a_request_that_the_module_is_silent_about_is_answered_in_time() {
-        let config = Arc::new(Config::read(crate::config::tests::JSON, |_| None).expect("readable"));
-        let pool = Pool::new(1, Duration::ZERO, Duration::ZERO);
-        let (mut driver, handle) = Driver::new(config, pool, Arc::new(Notify::new()));
+        let (mut driver, handle) = driver(crate::config::tests::JSON);
         // The module holds a request of the same id, and ignores another.
         let (id, patience) = (RequestId(0), Duration::from_secs(3_600));
         let arrival = Arrival { id, class: 0, cost: None, patience, origin: Origin::Fresh };
         driver.balancer.handle(driver.started.1, Event::Request(arrival), &mut Vec::new());
         tokio::spawn(driver.run(None));
-        let outbound = Outbound {
-            method: Method::POST,
-            uri: Uri::from_static("/api"),
-            headers: HeaderMap::new(),
-            body: Bytes::new(),
-        };
         let (since, budget) = (Instant::now(), Duration::from_millis(200));
-        let inbound = Inbound { outbound, class: 0, cost: None, origin: Origin::Fresh, budget, since };
-        let answer = tokio::time::timeout(Duration::from_secs(30), handle.ask(inbound)).await;
+        let answer = tokio::time::timeout(Duration::from_secs(30), handle.ask(inbound(budget))).await;
         assert!(matches!(answer.expect("an answer"), Answer::Failed));
         assert!(since.elapsed() >= budget - answer_margin(budget), "the module had its time");
     }
+
+    fn inbound(budget: Duration) -> Inbound {
+        let (method, uri, headers) = (Method::POST, Uri::from_static("/api"), HeaderMap::new());
+        let outbound = Outbound { method, uri, headers, body: Bytes::new() };
+        let (class, cost, origin, since) = (0, None, Origin::Fresh, Instant::now());
+        Inbound { outbound, class, cost, origin, budget, since }
+    }
+
+    fn driver(json: &str) -> (Driver, Handle) {
+        let config = Arc::new(Config::read(json, |_| None).expect("readable"));
+        Driver::new(config, Pool::new(1, Duration::ZERO, Duration::ZERO), Arc::new(Notify::new()))
+    }
+
+    /// As if the module had sent it.
+    fn out(driver: &mut Driver, id: RequestId) -> Arc<Notify> {
+        let unwanted = Arc::<Notify>::default();
+        let task = tokio::spawn(std::future::pending::<()>()).abort_handle();
+        let owed = driver.requests.get_mut(&id).expect("accepted");
+        owed.attempts.push((Instant::now(), Some(Out { task, unwanted: unwanted.clone() })));
+        unwanted
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn what_has_happened_counts_before_what_falls_due() {
+        let (mut driver, handle) = driver(crate::config::tests::JSON);
+        let (id, budget) = (RequestId(0), Duration::from_millis(200));
+        let (to, answer) = oneshot::channel();
+        driver.accept(id, inbound(budget), to);
+        out(&mut driver, id);
+        // The driver had no turn while the answer came and the request's time went by.
+        let served = (Bytes::from_static(b"in time"), None);
+        handle.tell(Happening::Attempt(id, 0, Outcome::Ok, served));
+        tokio::time::advance(budget).await;
+        tokio::spawn(driver.run(None));
+        let answer = answer.await.expect("an answer");
+        assert!(matches!(&answer, Answer::Served(body, _) if body == "in time"), "{answer:?}");
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn attempts_of_a_client_that_left_are_told_also_where_none_may_be_cancelled() {
+        let (mut driver, _handle) =
+            driver(&crate::config::tests::JSON.replace("\"cancel\":true", "\"cancel\":false"));
+        let id = RequestId(0);
+        let (to, _answer) = oneshot::channel();
+        driver.accept(id, inbound(Duration::from_secs(20)), to);
+        let unwanted = out(&mut driver, id);
+        driver.happen(Happening::HungUp(id));
+        assert!(driver.requests.contains_key(&id), "its attempt is still out");
+        let told = tokio::time::timeout(Duration::from_secs(1), unwanted.notified()).await;
+        assert!(told.is_ok(), "what is not all written stays here");
+        driver.happen(Happening::Attempt(id, 0, Outcome::Moot, Served::default()));
+        assert!(driver.requests.is_empty());
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_cancelled_attempt_has_one_outcome_though_its_own_was_under_way() {
+        let (mut driver, handle) = driver(crate::config::tests::JSON);
+        let id = RequestId(0);
+        let (to, answer) = oneshot::channel();
+        driver.accept(id, inbound(Duration::from_secs(20)), to);
+        out(&mut driver, id);
+        handle.tell(Happening::Attempt(id, 0, Outcome::Ok, (Bytes::from_static(b"late"), None)));
+        let event = driver.act(Action::Cancel { id, attempt: 0 });
+        assert!(matches!(event, Some(Event::Outcome { outcome: Outcome::Cancelled, .. })));
+        driver.act(Action::Fail(id));
+        assert!(driver.requests.is_empty());
+        let late = driver.from.try_recv().expect("it was under way");
+        driver.happen(late);
+        assert!(matches!(answer.await, Ok(Answer::Failed)), "one final answer");
+    }
 }
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -1,6 +1,7 @@
 //! A sidecar: takes the requests of the application beside it and sends each to an upstream.
 #![forbid(unsafe_code)]
 
+mod client;
 mod config;
 mod discovery;
 mod driver;
@@ -25,14 +26,8 @@
 
 /// Descriptors for all that is no connection of the application or to upstreams: the listener, discovery, logs.
 const RESERVED: usize = 16;
-/// After SIGTERM newcomers come for so long at least, and none for so long means that they have stopped.
-const NEWCOMERS: Duration = Duration::from_millis(500);
-const QUIET: Duration = Duration::from_millis(250);
-/// How often an ending sidecar looks whether it is done.
-const LOOK: Duration = Duration::from_millis(20);
-/// Guards against one who asks without end whether it is still there. Whoever came with the newcomers has had
-/// an answer by then: the longest deadline is 3 s.
-const DRAINED: Duration = Duration::from_millis(3_600);
+/// How often the address is tried again that a predecessor still holds.
+const LISTEN_AGAIN: Duration = Duration::from_millis(20);
 
 #[derive(Debug, thiserror::Error)]
 enum StartError {
@@ -45,12 +40,12 @@
 }
 
 /// Guards against a predecessor that still holds the address while it ends.
-async fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+async fn listen(addr: SocketAddr, patience: Duration) -> io::Result<TcpListener> {
     let since = Instant::now();
     loop {
         match TcpListener::bind(addr).await {
-            Err(error) if error.kind() == io::ErrorKind::AddrInUse && since.elapsed() < DRAINED => {
-                sleep(LOOK).await;
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && since.elapsed() < patience => {
+                sleep(LISTEN_AGAIN).await;
             }
             result => return result,
         }
@@ -74,7 +69,9 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let config = Arc::new(Config::from_env()?);
     let mut term = signal(SignalKind::terminate())?;
-    let listener = listen(config.listen).await.map_err(|e| StartError::Listen(config.listen, e))?;
+    let listener = listen(config.listen, server::shutdown_time(&config))
+        .await
+        .map_err(|e| StartError::Listen(config.listen, e))?;
     eprintln!("{}: listening on {}", config.name, listener.local_addr()?);
     // Clients may hold a third of all for requests, and each of these is at one upstream at a time. All that is left is
     // for connections that have asked nothing yet.
@@ -108,11 +105,7 @@
             }
         }
     }
-    server.drain();
-    let since = Instant::now();
-    while since.elapsed() < NEWCOMERS || since.elapsed() < DRAINED && !server.is_quiet(QUIET) {
-        sleep(LOOK).await;
-    }
+    server.shut_down().await;
     Ok(())
 }
 
--- a/src/bin/juniperspoke/pool.rs
+++ b/src/bin/juniperspoke/pool.rs
@@ -55,6 +55,16 @@
     unfinished: AtomicBool,
 }
 
+/// How far the request under way on a connection has come.
+pub struct Progress(Arc<Gate>);
+
+impl Progress {
+    /// Is it sure that its last byte has not been written?
+    pub fn is_unfinished(&self) -> bool {
+        self.0.unfinished.load(Ordering::Relaxed)
+    }
+}
+
 /// A socket that HTTP reads and writes, and that the pool may look at meanwhile.
 struct Shared {
     socket: Arc<TcpStream>,
@@ -63,20 +73,36 @@
 }
 
 /// Is there nothing to read, not even the connection's end?
-fn is_quiet(socket: &TcpStream) -> bool {
+pub fn is_quiet(socket: &TcpStream) -> bool {
     let mut byte = [MaybeUninit::uninit(); 1];
     SockRef::from(socket).peek(&mut byte).is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
 }
 
+/// Reads from a socket that is shared.
+pub fn poll_read(socket: &TcpStream, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    loop {
+        ready!(socket.poll_read_ready(cx))?;
+        match socket.try_read(buf.initialize_unfilled()) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            read => return Poll::Ready(read.map(|length| buf.advance(length))),
+        }
+    }
+}
+
+/// Writes to a socket that is shared.
+pub fn poll_write(socket: &TcpStream, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(socket.poll_write_ready(cx))?;
+        match socket.try_write(bytes) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            written => return Poll::Ready(written),
+        }
+    }
+}
+
 impl AsyncRead for Shared {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.socket.poll_read_ready(cx))?;
-            match self.socket.try_read(buf.initialize_unfilled()) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                read => return Poll::Ready(read.map(|length| buf.advance(length))),
-            }
-        }
+        poll_read(&self.socket, cx, buf)
     }
 }
 
@@ -99,17 +125,10 @@
                 }
             }
         }
-        loop {
-            ready!(this.socket.poll_write_ready(cx))?;
-            match this.socket.try_write(now) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => {
-                    let all = written.as_ref().is_ok_and(|length| *length == bytes.len());
-                    this.gate.unfinished.store(!all, Ordering::Relaxed);
-                    return Poll::Ready(written);
-                }
-            }
-        }
+        let written = ready!(poll_write(&this.socket, cx, now));
+        let all = written.as_ref().is_ok_and(|length| *length == bytes.len());
+        this.gate.unfinished.store(!all, Ordering::Relaxed);
+        Poll::Ready(written)
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -162,9 +181,9 @@
         self.gate.unfinished.store(true, Ordering::Relaxed);
     }
 
-    /// Is it sure that the last byte of that request was not written?
-    pub fn is_unfinished(&self) -> bool {
-        self.gate.unfinished.load(Ordering::Relaxed)
+    /// Of that request.
+    pub fn progress(&self) -> Progress {
+        Progress(self.gate.clone())
     }
 }
 
--- a/src/bin/juniperspoke/request.rs
+++ b/src/bin/juniperspoke/request.rs
@@ -1,6 +1,6 @@
 //! The check of a client's request: what it asks for, or why it is turned away. Nothing in it is believed.
 
-use crate::config::{Config, flat_name};
+use crate::config::{self, Config, flat_name};
 use crate::upstream::MAX_BODY;
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
@@ -8,8 +8,6 @@
 use micapier::api::{Origin, Repeat};
 use std::time::Duration;
 
-/// The longest that a client may wait where its class names no deadline.
-const LONGEST: Duration = Duration::from_secs(60);
 const ID: HeaderName = HeaderName::from_static("x-call-id");
 const CLASS: HeaderName = HeaderName::from_static("x-call-class");
 const BUDGET: HeaderName = HeaderName::from_static("x-budget");
@@ -84,7 +82,7 @@
     let budget = number(BUDGET).and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
     let Some(budget) = budget else { return bad("no readable budget") };
     // Guards against a time without end, which no clock can hold: no client waits past its class's deadline.
-    let budget = budget.min(if of_class.deadline.is_zero() { LONGEST } else { of_class.deadline });
+    let budget = budget.min(config::patience(of_class));
     let cost = number(COST).and_then(|us| Duration::try_from_secs_f64(us / 1e6).ok());
     // Guards against a guess that spoils what its class is taken to cost: more work than this is never served.
     let cost = cost.map(|cost| cost.min(budget));
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -1,6 +1,6 @@
 //! The upstreams' side: attempts and probes, and what their answers are worth.
 
-use crate::pool::{Pool, Target, TcpConnection};
+use crate::pool::{Pool, Progress, Target, TcpConnection};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -8,8 +8,11 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use micapier::api::Outcome;
 use serde_json::Value;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 use tokio::time::{Instant, timeout_at};
 
 /// The most that a body may hold.
@@ -56,13 +59,13 @@
         Ok(answer) => answer,
         Err(mut error) => {
             // Given back unwritten: it never left. Else it may have.
-            let unsent = error.take_message().is_some() || connection.is_unfinished();
+            let unsent = error.take_message().is_some() || connection.progress().is_unfinished();
             return (!unsent).then(|| (Outcome::Reset, Served::default()));
         }
     };
     // Guards against the second copy of an earlier answer: an upstream begins with a request's last byte, so what comes
     // before that byte is out was not made for this request.
-    if connection.is_unfinished() {
+    if connection.progress().is_unfinished() {
         return None;
     }
     let Some((status, headers, body)) = whole(answer).await else {
@@ -80,17 +83,28 @@
 
 /// One attempt, from choosing a connection to the end of the answer. `answered` is told first, then the
 /// connection is made ready for the next. Guards against kept connections that prove dead before the request is all
-/// out: nothing ran, and another is taken.
+/// out: nothing ran, and another is taken. It ends as never sent if it is `unwanted` before its last byte is out, or its
+/// time is over before it has a connection.
 pub async fn attempt(
-    pool: Pool, target: Arc<Target>, outbound: Arc<Outbound>, by: Instant,
+    pool: Pool, target: Arc<Target>, outbound: Arc<Outbound>, by: Instant, unwanted: Arc<Notify>,
     answered: impl FnOnce(Outcome, Served),
 ) {
+    let unwanted = unwanted.notified();
+    tokio::pin!(unwanted);
     for _ in 0..CONNECTIONS {
-        let mut pooled = match pool.connection(&target, by).await {
+        let pooled = tokio::select! {
+            biased;
+            () = unwanted.as_mut() => Err(Outcome::Moot),
+            pooled = pool.connection(&target, by) => pooled,
+        };
+        let mut pooled = match pooled {
             Ok(pooled) => pooled,
             Err(outcome) => return answered(outcome, Served::default()),
         };
         let left = by.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return answered(Outcome::ConnectFailed, Served::default());
+        }
         let mut request = Request::new(Full::new(outbound.body.clone()));
         *request.method_mut() = outbound.method.clone();
         *request.uri_mut() = outbound.uri.clone();
@@ -98,7 +112,15 @@
         if let Ok(budget) = format!("{:.4}", left.as_secs_f64()).parse() {
             request.headers_mut().insert("X-Budget", budget);
         }
-        let result = timeout_at(by, exchange(&mut pooled.connection, request, left >= UNHURRIED)).await;
+        let progress = pooled.connection.progress();
+        let exchange = exchange(&mut pooled.connection, request, left >= UNHURRIED);
+        let result = tokio::select! {
+            biased;
+            result = timeout_at(by, exchange) => result,
+            () = until_unsent(unwanted.as_mut(), &progress) => {
+                return answered(Outcome::Moot, Served::default());
+            }
+        };
         let Some((outcome, body)) = result.unwrap_or(Some((Outcome::Timeout, Served::default()))) else {
             continue;
         };
@@ -113,6 +135,14 @@
     answered(Outcome::ConnectFailed, Served::default());
 }
 
+/// Ends when the request is unwanted while its last byte is not out; once that is out, it has to be waited for.
+async fn until_unsent(unwanted: Pin<&mut Notified<'_>>, progress: &Progress) {
+    unwanted.await;
+    if !progress.is_unfinished() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Asks an upstream how it is, and for its load where it reports any: the value of that name.
 pub async fn probe(
     pool: Pool, target: Arc<Target>, by: Instant, held_name: Option<&str>,
@@ -151,11 +181,154 @@
 
     const LONG: Duration = Duration::from_secs(100);
 
-    /// How an attempt ends whose first so many connections break at their first byte, and how many were made.
-    async fn after_breaks(breaks: usize, body: &'static str, time: Duration) -> (Option<Outcome>, usize) {
+    fn outbound(body: &'static str) -> Arc<Outbound> {
+        let body = Bytes::from_static(body.as_bytes());
+        let (method, uri, headers) = (Method::POST, Uri::from_static("/api"), HeaderMap::new());
+        Arc::new(Outbound { method, uri, headers, body })
+    }
+
+    fn peer() -> (TcpListener, Pool, Arc<Target>) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let pool = Pool::new(4, LONG, LONG);
         let target = pool.target(listener.local_addr().expect("an address"));
+        (listener, pool, target)
+    }
+
+    fn read_until(stream: &mut impl Read, end: &[u8]) {
+        let (mut seen, mut byte) = (Vec::new(), [0]);
+        while !seen.ends_with(end) {
+            stream.read_exact(&mut byte).expect("a byte");
+            seen.push(byte[0]);
+        }
+    }
+
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew";
+
+    #[tokio::test]
+    async fn what_nobody_waits_for_any_more_is_not_finished_and_frees_its_connection() {
+        let (listener, pool, target) = peer();
+        let unwanted = Arc::new(Notify::new());
+        let tell = unwanted.clone();
+        // The last byte is withheld for a second; the client leaves before it, every time.
+        let peer = std::thread::spawn(move || {
+            let mut stream = listener.accept().expect("a connection").0;
+            read_until(&mut stream, b"some bod");
+            tell.notify_one();
+            let mut rest = Vec::new();
+            drop(stream.read_to_end(&mut rest));
+            rest
+        });
+        let mut outcome = None;
+        let by = Instant::now() + LONG;
+        attempt(pool, target, outbound("some body"), by, unwanted, |ended, _| outcome = Some(ended)).await;
+        assert_eq!(outcome, Some(Outcome::Moot));
+        let rest = tokio::task::spawn_blocking(|| peer.join()).await.expect("run").expect("an end");
+        assert!(rest.is_empty(), "the last byte stays here");
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn what_nobody_waits_for_any_more_does_not_wait_for_a_connection() {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
+        let addr = socket.local_addr().expect("an address");
+        // Nobody accepts: once the backlog is full, no further connection comes up.
+        let _listener = socket.listen(0).expect("listening");
+        let _full: Vec<_> = (0..8).map(|_| nonblocking_connect(addr)).collect();
+        let pool = Pool::new(4, LONG, LONG);
+        let (target, unwanted, by) = (pool.target(addr), Arc::new(Notify::new()), Instant::now() + LONG);
+        let (tell, since) = (unwanted.clone(), Instant::now());
+        let mut outcome = None;
+        let left = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            tell.notify_one();
+        };
+        let attempt = attempt(pool, target, outbound(""), by, unwanted, |ended, _| outcome = Some(ended));
+        tokio::join!(attempt, left);
+        assert_eq!(outcome, Some(Outcome::Moot));
+        assert!(since.elapsed() < Duration::from_millis(300), "{:?}", since.elapsed());
+    }
+
+    fn nonblocking_connect(addr: std::net::SocketAddr) -> socket2::Socket {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+        let socket = socket.expect("a socket");
+        socket.set_nonblocking(true).expect("set");
+        drop(socket.connect(&addr.into()));
+        socket
+    }
+
+    #[tokio::test]
+    async fn what_may_have_run_is_waited_for_also_when_its_client_has_left() {
+        let (listener, pool, target) = peer();
+        let unwanted = Arc::new(Notify::new());
+        let tell = unwanted.clone();
+        let peer = std::thread::spawn(move || {
+            let mut stream = listener.accept().expect("a connection").0;
+            read_until(&mut stream, b"some body");
+            tell.notify_one();
+            stream.write_all(ANSWER).expect("written");
+            stream
+        });
+        let mut outcome = None;
+        let by = Instant::now() + LONG;
+        attempt(pool, target, outbound("some body"), by, unwanted, |ended, _| outcome = Some(ended)).await;
+        assert_eq!(outcome, Some(Outcome::Ok), "its time counts for the server's average");
+        drop(peer.join());
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn nothing_is_sent_on_a_kept_connection_once_the_time_is_over() {
+        let (listener, pool, target) = peer();
+        let by = Instant::now();
+        let kept = pool.connection(&target, by + LONG).await.expect("room");
+        pool.keep(&target, kept);
+        // It has rested, and is good.
+        tokio::time::advance(Duration::from_secs(1)).await;
+        let mut outcome = None;
+        let unwanted = Arc::default();
+        attempt(pool, target, outbound("x"), by, unwanted, |ended, _| outcome = Some(ended)).await;
+        assert!(outcome.is_some_and(Outcome::never_ran), "{outcome:?}");
+        let seen = tokio::task::spawn_blocking(move || {
+            let mut seen = Vec::new();
+            drop(listener.accept().expect("a connection").0.read_to_end(&mut seen));
+            seen
+        });
+        assert_eq!(String::from_utf8_lossy(&seen.await.expect("run")), "");
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn an_answer_that_is_there_beats_the_time_out_of_the_same_moment() {
+        let (listener, pool, target) = peer();
+        // In a hurry, so that nothing is held back.
+        let time = UNHURRIED / 2;
+        let (to, result) = tokio::sync::oneshot::channel();
+        let answered = |ended, served: Served| drop(to.send((ended, served.0)));
+        let (by, unwanted) = (Instant::now() + time, Arc::default());
+        tokio::spawn(attempt(pool, target, outbound("some body"), by, unwanted, answered));
+        // Read and answered with no turn of the runtime in between, and then the clock has gone past the time.
+        listener.set_nonblocking(true).expect("set");
+        let mut stream = loop {
+            match listener.accept() {
+                Ok((stream, _)) => break stream,
+                Err(_) => tokio::task::yield_now().await,
+            }
+        };
+        stream.set_nonblocking(true).expect("set");
+        let mut seen = Vec::new();
+        while !seen.ends_with(b"some body") {
+            let mut bytes = [0; 512];
+            match stream.read(&mut bytes) {
+                Ok(length) => seen.extend_from_slice(&bytes[..length]),
+                Err(_) => tokio::task::yield_now().await,
+            }
+        }
+        stream.write_all(ANSWER).expect("written");
+        tokio::time::advance(time * 2).await;
+        assert_eq!(result.await.expect("an outcome"), (Outcome::Ok, Bytes::from_static(b"new")));
+    }
+
+    /// How an attempt ends whose first so many connections break at their first byte, and how many were made.
+    async fn after_breaks(breaks: usize, body: &'static str, time: Duration) -> (Option<Outcome>, usize) {
+        let (listener, pool, target) = peer();
         let made = Arc::new(AtomicUsize::new(0));
         let counted = made.clone();
         // Ends with the tests.
@@ -175,14 +348,9 @@
                 }
             }
         });
-        let outbound = Arc::new(Outbound {
-            method: Method::POST,
-            uri: Uri::from_static("/api"),
-            headers: HeaderMap::new(),
-            body: Bytes::from_static(body.as_bytes()),
-        });
         let mut outcome = None;
-        attempt(pool, target, outbound, Instant::now() + time, |ended, _| outcome = Some(ended)).await;
+        let (by, unwanted) = (Instant::now() + time, Arc::default());
+        attempt(pool, target, outbound(body), by, unwanted, |ended, _| outcome = Some(ended)).await;
         (outcome, made.load(Ordering::SeqCst))
     }
 
@@ -197,9 +365,7 @@
     #[tokio::test]
     async fn an_answer_that_comes_before_the_requests_last_byte_was_made_for_another() {
         for early in ["200 OK", "503 X\r\nX-Rejected: 1", "500 X"] {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-            let pool = Pool::new(4, LONG, LONG);
-            let target = pool.target(listener.local_addr().expect("an address"));
+            let (listener, pool, target) = peer();
             let peer = std::thread::spawn(move || {
                 let answer = |status, body| {
                     format!("HTTP/1.1 {status}\r\nContent-Length: 3\r\n\r\n{body}").into_bytes()
@@ -209,27 +375,18 @@
                 first.read_exact(&mut [0; 8]).expect("the start");
                 first.write_all(&answer(early, "old")).expect("written");
                 let mut second = listener.accept().expect("another connection").0;
-                let mut seen = Vec::new();
-                while !seen.ends_with(b"some body") {
-                    let mut byte = [0];
-                    second.read_exact(&mut byte).expect("a byte");
-                    seen.push(byte[0]);
-                }
+                read_until(&mut second, b"some body");
                 second.write_all(&answer("200 OK", "new")).expect("written");
                 let mut all = Vec::new();
                 // A reset ends it as well.
                 drop(first.read_to_end(&mut all));
                 (second, all)
             });
-            let outbound = Arc::new(Outbound {
-                method: Method::POST,
-                uri: Uri::from_static("/api"),
-                headers: HeaderMap::new(),
-                body: Bytes::from_static(b"some body"),
-            });
+            let outbound = outbound("some body");
             let mut result = None;
             let by = Instant::now() + LONG;
-            attempt(pool, target, outbound, by, |ended, served| result = Some((ended, served.0))).await;
+            let answered = |ended, served: Served| result = Some((ended, served.0));
+            attempt(pool, target, outbound, by, Arc::default(), answered).await;
             assert_eq!(result, Some((Outcome::Ok, Bytes::from_static(b"new"))), "{early}");
             let (_second, rest) =
                 tokio::task::spawn_blocking(|| peer.join()).await.expect("run").expect("an end");
