Refuse times at the start that no clock can hold

Seen by a test: an aim or a connect timeout of 1e21 ms was taken at the start and would end the program with a panic where it is added to the clock. At fault: settings.rs `time` took whatever a Duration holds. More than 1e12 ms (32 years) is now unreadable, in the one plain line that any bad setting has. A test of the module beside it: a request whose client left while it was held, or waited for another try, is sent on by nothing that comes later (held already).

--- a/src/bin/juniperspoke/config.rs
+++ b/src/bin/juniperspoke/config.rs
@@ -148,6 +148,8 @@
             ("127.0.0.1:8500", "nowhere", "discovery: cannot read \"nowhere\""),
             ("8c1f", "zz", "seed: cannot read"),
             ("290.0", "\"soon\"", "requestClasses.0.aim"),
+            ("290.0", "1e21", "requestClasses.0.aim"),
+            ("\"connectTimeout\":70", "\"connectTimeout\":1e21", "policyLimits.connectTimeout"),
             ("{\"name\"", "{", "no JSON"),
         ] {
             let error = Config::read(&JSON.replacen(from, to, 1), |_| None).err().expect("an error");
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -44,8 +44,12 @@
     text.parse::<f64>().ok().filter(|n| n.is_finite())
 }
 
+/// Milliseconds that are added to a clock; no clock holds a time without end.
+const LONGEST_MS: f64 = 1e12;
+
 fn time(text: &str) -> Option<Duration> {
-    Duration::try_from_secs_f64(number(text)? / 1e3).ok()
+    let ms = number(text).filter(|ms| *ms <= LONGEST_MS)?;
+    Duration::try_from_secs_f64(ms / 1e3).ok()
 }
 
 /// Counts of listed objects stay in the range of the indices that the wire has for them.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -260,6 +260,24 @@
     }
 }
 
+#[test]
+fn a_request_whose_client_has_left_is_sent_on_by_nothing_that_comes_later() {
+    for waits in ["for a first server", "for another try"] {
+        let mut rig = rig(SAFE, if waits == "for another try" { 1 } else { 0 });
+        let (id, said) = rig.ask();
+        if waits == "for another try" {
+            assert!(sent(&said).is_some());
+            assert!(sent(&rig.end(id, 0, Outcome::ConnectFailed, 1)).is_none());
+        }
+        rig.tell(Event::HungUp(id));
+        let mut said = rig.tell(Event::List(ListNews::Full(listed(4))));
+        said.extend(rig.wait(2_000));
+        assert!(sent(&said).is_none() && !refused(&said) && !failed(&said), "{waits}: {said:?}");
+        // Others are served.
+        rig.serve(|_| 20);
+    }
+}
+
 #[test]
 fn a_broken_subscription_is_opened_anew_before_what_it_misses_counts_as_told() {
     let mut settings = settings(vec![class(SAFE)]);
