--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -98,11 +98,15 @@
 fn a_client_that_leaves_ends_its_attempt() {
     let upstream = Upstream::start(|_| Reply::Silence);
     let sidecar = Sidecar::start(&[&upstream]);
-    let mut client = sidecar.connect();
-    client.write_all(call("pay", 20.0).text().as_bytes()).expect("written");
-    upstream.wait_for("the request", |state| state.requests.len() == 1);
-    drop(client);
-    upstream.wait_for("the connection to close", |state| state.closed_by_peer == 1);
+    // Also with further bytes behind its request that nobody has read.
+    for (number, behind) in [(1, String::new()), (2, call("pay", 20.0).text())] {
+        let mut client = sidecar.connect();
+        client.write_all((call("pay", 20.0).text() + &behind).as_bytes()).expect("written");
+        upstream.wait_for("the request", |state| state.requests.len() == number);
+        drop(client);
+        upstream.wait_for("the connection to close", |state| state.closed_by_peer == number);
+    }
+    assert_eq!(upstream.requests().len(), 2, "what lay behind goes nowhere");
 }
 
 #[test]
