Wait for the logged shortage of descriptors instead of a count that lasts a moment

A probe that reads the count as fast as it can, 60 silent newcomers and a limit of 40: 40 in 1.7% of looks in the first 0.6 s, 39 in all others, none after it. Ruled out: a sidecar that does not accept (39 all the time), or ends. At fault: the test: a newcomer gives way at once when accepting fails, so that all 40 are held for some microseconds at a time, and the test looked every 5 ms.

--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -346,7 +346,7 @@
     // Its limit of the system is lower than what it was told.
     let sidecar = Sidecar::under("ulimit -n 40", &[&upstream]);
     let silent: Vec<_> = (0..60).map(|_| sidecar.connect()).collect();
-    sidecar.wait_until("the descriptors to run out", |sidecar| sidecar.descriptors() >= 40);
+    sidecar.wait_for_line("accept: Too many open files");
     let used = sidecar.cpu_ticks();
     std::thread::sleep(Duration::from_millis(500));
     assert!(sidecar.cpu_ticks() - used < 20, "less than 200 ms of CPU in the meantime");
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -355,6 +355,8 @@
     process: Child,
     addr: SocketAddr,
     pub discovery: Discovery,
+    /// What it has logged since it listens.
+    log: Arc<Watched<Vec<String>>>,
     config: Value,
     file: String,
 }
@@ -404,10 +406,12 @@
             .stderr(Stdio::piped())
             .spawn()
             .expect("started");
-        let mut log = BufReader::new(process.stderr.take().expect("a log")).lines();
-        let addr = log.find_map(|line| line.ok()?.split_once("listening on ")?.1.parse().ok());
-        thread::spawn(move || log.for_each(drop));
-        let sidecar = Sidecar { process, addr: addr.expect("it listens"), discovery, config, file };
+        let mut lines = BufReader::new(process.stderr.take().expect("a log")).lines();
+        let addr = lines.find_map(|line| line.ok()?.split_once("listening on ")?.1.parse().ok());
+        let log = Watched::new(Vec::new());
+        let of = log.clone();
+        thread::spawn(move || lines.map_while(Result::ok).for_each(|line| of.change(|log| log.push(line))));
+        let sidecar = Sidecar { process, addr: addr.expect("it listens"), discovery, log, config, file };
         sidecar.wait_until("readiness", |sidecar| sidecar.ready() == 200);
         if sidecar.config["settings"]["discovery"] == "pushed" {
             drop(sidecar.discovery.registry.wait("a call", |r| r.watches.iter().any(|w| w.0 == 1)));
@@ -465,6 +469,11 @@
         }
     }
 
+    /// Waits until it has logged a line that begins so.
+    pub fn wait_for_line(&self, start: &str) {
+        drop(self.log.wait(start, |log| log.iter().any(|line| line.starts_with(start))));
+    }
+
     pub fn terminate(&self) {
         self.signal("TERM");
     }
