Hold a last byte until its connection has rested, and wait only where a new one costs more

At fault: pool.rs `connection`, which let a request wait for a connection at rest wherever 50 ms were left, with nothing sent meanwhile, and then hold back its last byte on top of that. Remedy: one wait for both. A request begins at once on the connection that will have rested first, and its last byte goes out once it has; what comes before was made for another, also for a probe. Where a new connection has no price, that is done only if one takes longer to come up than the rest lasts, as across zones. Tests: a second answer forced into the middle of the next request and of the next probe; without the hold it is taken for theirs. The choice, by price and time.

--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -444,7 +444,7 @@
 
     fn driver(json: &str) -> (Driver, Handle) {
         let config = Arc::new(Config::read(json, |_| None).expect("readable"));
-        Driver::new(config, Pool::new(1, Duration::ZERO, Duration::ZERO), Arc::new(Notify::new()))
+        Driver::new(config, Pool::new(1, Duration::ZERO, Duration::ZERO, true), Arc::new(Notify::new()))
     }
 
     /// As if the module had sent it.
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -78,7 +78,8 @@
     let share = config.sockets / 3;
     let clients = config.sockets.saturating_sub(RESERVED + share);
     let settings = (config.settings.keep_alive, config.surroundings.connect_timeout);
-    let pool = Pool::new(share.max(1), settings.0, settings.1);
+    let priced = config.settings.handshake_price > 0.0;
+    let pool = Pool::new(share.max(1), settings.0, settings.1, priced);
     tokio::spawn(pool.clone().sweep());
     let subscribe = Arc::new(Notify::new());
     let (driver, handle) = Driver::new(config.clone(), pool, subscribe.clone());
--- a/src/bin/juniperspoke/pool.rs
+++ b/src/bin/juniperspoke/pool.rs
@@ -26,12 +26,12 @@
 
 /// A kept connection is not used in this last part of the time after which the upstream closes it.
 const IDLE_MARGIN: u32 = 10;
-/// How long a connection rests after an answer before it carries the next request. Some upstreams send an answer twice,
-/// the second some milliseconds late: seen up to 6 ms behind the first. On a connection at rest it is surplus, on one
-/// with a request out it would be taken for that request's answer.
-const REST: Duration = Duration::from_millis(10);
-/// A request waits for a connection at rest while it has this much time, rather than pay for a new one: a probe's
-/// connection is wanted by the request right behind it.
+/// How long a connection rests after an answer before the last byte of the next request goes out on it. Some upstreams
+/// send an answer twice, the second some milliseconds late: seen up to 6 ms behind the first. On a connection with a
+/// whole request out it would be taken for that request's answer.
+/// Tests let it rest for so long that the second answer comes first on any machine.
+const REST: Duration = Duration::from_millis(if cfg!(test) { 1_000 } else { 10 });
+/// With less than this left after a connection's rest, a request can't wait for it.
 const TO_REST: Duration = Duration::from_millis(50);
 /// Idle connections kept to one upstream.
 const IDLE_EACH: usize = 8;
@@ -54,10 +54,17 @@
 /// request with that byte, and a connection that breaks before it proves that nothing ran.
 #[derive(Default)]
 struct Gate {
-    armed: AtomicBool,
+    /// The last byte is held back, and until this time at least.
+    armed: Mutex<Option<Instant>>,
     unfinished: AtomicBool,
 }
 
+impl Gate {
+    fn armed(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.armed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// How far the request under way on a connection has come.
 pub struct Progress(Arc<Gate>);
 
@@ -113,14 +120,16 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
         let mut now = bytes;
-        if this.gate.armed.load(Ordering::Relaxed) {
+        let armed = *this.gate.armed();
+        if let Some(until) = armed {
             match bytes {
                 [start @ .., _] if !start.is_empty() => now = start,
                 _ => {
-                    let wait = this.wait.get_or_insert_with(|| Box::pin(sleep(LAST_BYTE)));
+                    let until = until.max(Instant::now() + LAST_BYTE);
+                    let wait = this.wait.get_or_insert_with(|| Box::pin(sleep_until(until)));
                     ready!(wait.as_mut().poll(cx));
                     this.wait = None;
-                    this.gate.armed.store(false, Ordering::Relaxed);
+                    *this.gate.armed() = None;
                     // Guards against what came behind the answer before: it would be taken for the next one.
                     if !is_quiet(&this.socket) {
                         return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
@@ -178,9 +187,9 @@
         self.sender.is_ready() && self.socket.upgrade().is_some_and(|socket| is_quiet(&socket))
     }
 
-    /// A request begins, and may hold its last byte back.
-    pub fn begin(&self, hold_back: bool) {
-        self.gate.armed.store(hold_back, Ordering::Relaxed);
+    /// A request begins, and may hold its last byte back, until this time at least.
+    fn begin(&self, hold_back: Option<Instant>) {
+        *self.gate.armed() = hold_back;
         self.gate.unfinished.store(true, Ordering::Relaxed);
     }
 
@@ -208,9 +217,21 @@
 /// A connection and its place under the limit.
 pub struct Pooled {
     pub connection: TcpConnection<Full<Bytes>>,
+    /// How long it took to come up.
+    took: Duration,
+    rested_at: Instant,
     _slot: Slot,
 }
 
+impl Pooled {
+    /// A request begins. Its last byte is held back if there is time for that, and always until the connection has
+    /// rested.
+    pub fn begin(&self, hold_back: bool) {
+        let at_rest = Instant::now() >= self.rested_at;
+        self.connection.begin((hold_back || !at_rest).then_some(self.rested_at));
+    }
+}
+
 struct Idle {
     pooled: Pooled,
     since: Instant,
@@ -248,12 +269,14 @@
     most: usize,
     keep: Duration,
     connect_timeout: Duration,
+    /// Has a new connection a price?
+    priced: bool,
 }
 
 impl Pool {
-    pub fn new(most: usize, keep_alive: Duration, connect_timeout: Duration) -> Self {
+    pub fn new(most: usize, keep_alive: Duration, connect_timeout: Duration, priced: bool) -> Self {
         let (targets, open) = Default::default();
-        Pool { targets, open, most, keep: keep_alive - keep_alive / IDLE_MARGIN, connect_timeout }
+        Pool { targets, open, most, keep: keep_alive - keep_alive / IDLE_MARGIN, connect_timeout, priced }
     }
 
     fn targets(&self) -> MutexGuard<'_, Vec<Weak<Target>>> {
@@ -281,28 +304,33 @@
         }
     }
 
-    /// The connection used last that has rested and is still good. Guards against one that its upstream has closed, or
-    /// is about to: a request on it would end as a reset, and might have run.
-    fn kept(&self, target: &Target) -> Option<Pooled> {
-        let mut idle = target.idle();
+    /// The connection used last that has rested and is still good, else the one that will have rested first, if that is
+    /// worth the wait. Guards against one that its upstream has closed, or is about to: a request on it would end as a
+    /// reset, and might have run.
+    fn kept(&self, target: &Target, by: Instant) -> Option<Pooled> {
+        let (mut idle, now) = (target.idle(), Instant::now());
         loop {
-            let last = idle.iter().rposition(|idle| idle.since.elapsed() >= REST)?;
-            let last = idle.remove(last);
-            if self.is_good(&last) {
-                return Some(last.pooled);
+            let rested = idle.iter().rposition(|idle| idle.pooled.rested_at <= now);
+            let first = || idle.first().filter(|idle| self.is_worth_waiting_for(&idle.pooled, now, by));
+            let at = rested.or_else(|| first().map(|_| 0))?;
+            let kept = idle.remove(at);
+            if self.is_good(&kept) {
+                return Some(kept.pooled);
             }
         }
     }
 
-    /// When the first of those at rest may be used.
-    fn rested_at(&self, target: &Target) -> Option<Instant> {
-        target.idle().first().map(|idle| idle.since + REST)
+    /// Rather than open another: that may have a price, and takes its time as well, by what this one took.
+    fn is_worth_waiting_for(&self, pooled: &Pooled, now: Instant, by: Instant) -> bool {
+        let cheaper = self.priced || pooled.rested_at <= now + pooled.took;
+        cheaper && pooled.rested_at + TO_REST <= by
     }
 
-    pub fn keep(&self, target: &Target, pooled: Pooled) {
-        let mut idle = target.idle();
+    pub fn keep(&self, target: &Target, mut pooled: Pooled) {
+        let (mut idle, since) = (target.idle(), Instant::now());
         if target.is_open() && idle.len() < IDLE_EACH {
-            idle.push(Idle { pooled, since: Instant::now() });
+            pooled.rested_at = since + REST;
+            idle.push(Idle { pooled, since });
         }
     }
 
@@ -320,22 +348,17 @@
 
     /// Without one, how an attempt ends: none came up in time, or its upstream has been taken back meanwhile.
     pub async fn connection(&self, target: &Target, by: Instant) -> Result<Pooled, Outcome> {
-        if let Some(kept) = self.kept(target).filter(|_| target.is_open()) {
+        if let Some(kept) = self.kept(target, by).filter(|_| target.is_open()) {
             return Ok(kept);
         }
-        if let Some(at) = self.rested_at(target).filter(|at| *at + TO_REST <= by) {
-            sleep_until(at).await;
-            // Another request may have been first, or its upstream been taken back, which closed it.
-            if let Some(kept) = self.kept(target).filter(|_| target.is_open()) {
-                return Ok(kept);
-            }
-        }
-        let by = by.min(Instant::now() + self.connect_timeout);
+        let since = Instant::now();
+        let by = by.min(since + self.connect_timeout);
         let open = async {
             let slot = self.slot()?;
             let mut connection = timeout_at(by, TcpConnection::open(target.addr)).await.ok()?.ok()?;
             connection.sender.ready().await.ok()?;
-            Some(Pooled { connection, _slot: slot })
+            let rested_at = Instant::now();
+            Some(Pooled { connection, took: rested_at - since, rested_at, _slot: slot })
         };
         let pooled = open.await.ok_or(Outcome::ConnectFailed)?;
         // Guards against sending to an upstream that has begun to drain while the connection came up.
@@ -359,7 +382,7 @@
     #[tokio::test]
     async fn nothing_is_sent_to_an_upstream_that_drains_while_its_connection_comes_up() {
         let (listener, addr) = listener().await;
-        let pool = Pool::new(4, LONG, LONG);
+        let pool = Pool::new(4, LONG, LONG, true);
         let target = pool.target(addr);
         target.close();
         let (result, accepted) =
@@ -389,14 +412,14 @@
         while let Ok(Ok(stream)) = tokio::time::timeout(by, TcpStream::connect(addr)).await {
             waiting.push(stream);
         }
-        let pool = Pool::new(4, LONG, Duration::from_millis(50));
+        let pool = Pool::new(4, LONG, Duration::from_millis(50), true);
         let result = pool.connection(&pool.target(addr), Instant::now() + LONG).await;
         assert_eq!(result.err(), Some(Outcome::ConnectFailed));
     }
 
     #[tokio::test]
     async fn connections_stay_within_the_limit_and_the_one_idle_longest_gives_way() {
-        let pool = Pool::new(2, LONG, LONG);
+        let pool = Pool::new(2, LONG, LONG, true);
         let (mut listeners, mut targets) = (Vec::new(), Vec::new());
         for _ in 0..3 {
             let (listener, addr) = listener().await;
@@ -415,7 +438,7 @@
     #[tokio::test]
     async fn a_target_that_was_taken_back_keeps_nothing() {
         let (_listener, addr) = listener().await;
-        let pool = Pool::new(2, LONG, LONG);
+        let pool = Pool::new(2, LONG, LONG, true);
         let (old, by) = (pool.target(addr), Instant::now() + LONG);
         let (kept, used) = (pool.connection(&old, by).await, pool.connection(&old, by).await);
         pool.keep(&old, kept.expect("room"));
@@ -428,7 +451,7 @@
     #[tokio::test]
     async fn a_connection_with_something_more_to_read_is_not_clean() {
         let (listener, addr) = listener().await;
-        let pool = Pool::new(2, LONG, LONG);
+        let pool = Pool::new(2, LONG, LONG, true);
         let target = pool.target(addr);
         let pooled = pool.connection(&target, Instant::now() + LONG).await.expect("room");
         let peer = listener.accept().await.expect("a connection").0;
@@ -439,26 +462,40 @@
         assert!(!pooled.connection.is_clean());
     }
 
+    fn local(pooled: &Pooled) -> SocketAddr {
+        pooled.connection.socket.upgrade().expect("open").local_addr().expect("an address")
+    }
+
     #[tokio::test(start_paused = true)]
-    async fn a_connection_rests_after_its_answer_before_it_is_used_again() {
+    async fn a_connection_is_waited_for_until_it_has_rested_where_another_costs_more() {
         let (_listener, addr) = listener().await;
-        let pool = Pool::new(2, LONG, LONG);
-        let (target, by) = (pool.target(addr), Instant::now() + LONG);
-        let local = |pooled: &Pooled| {
-            pooled.connection.socket.upgrade().expect("open").local_addr().expect("an address")
-        };
-        let first = pool.connection(&target, by).await.expect("room");
-        let address = local(&first);
-        pool.keep(&target, first);
-        let since = Instant::now();
-        // A second answer may be under way on it: one waits, the other, which is late or in a hurry, takes a new one.
-        let (one, other) = tokio::join!(pool.connection(&target, by), pool.connection(&target, by));
-        let (one, other) = (one.expect("the one that has rested"), other.expect("room"));
-        assert_eq!([&one, &other].iter().filter(|pooled| local(pooled) == address).count(), 1);
-        assert!(since.elapsed() >= REST, "{:?}", since.elapsed());
-        let address = local(&one);
-        pool.keep(&target, one);
-        let hurried = pool.connection(&target, Instant::now() + TO_REST).await.expect("room");
-        assert_ne!(local(&hurried), address, "no time to wait");
+        let instant = Duration::ZERO;
+        // Whether a connection has a price, what one takes to come up, the time left, and whether it is waited for.
+        for (priced, took, left, waits) in [
+            (true, instant, LONG, true),
+            (true, instant, REST + TO_REST / 2, false),
+            (false, instant, LONG, false),
+            (false, REST * 2, LONG, true),
+            (false, REST * 2, REST + TO_REST / 2, false),
+        ] {
+            let pool = Pool::new(4, LONG, LONG, priced);
+            let (target, begun) = (pool.target(addr), Instant::now());
+            let mut first = pool.connection(&target, begun + LONG).await.expect("room");
+            first.took = took;
+            let kept = local(&first);
+            pool.keep(&target, first);
+            let next = pool.connection(&target, begun + left).await.expect("room");
+            assert_eq!(local(&next) == kept, waits, "{priced} {took:?} {left:?}");
+            assert_eq!(Instant::now(), begun, "its request begins at once, and only ends later");
+            assert_eq!(next.rested_at > begun, waits);
+            // It is nobody else's, and one that has rested comes first.
+            let other = pool.connection(&target, begun + LONG).await.expect("room");
+            assert!(local(&other) != local(&next));
+            pool.keep(&target, other);
+            tokio::time::advance(REST).await;
+            pool.keep(&target, next);
+            let rested = pool.connection(&target, Instant::now() + LONG).await.expect("room");
+            assert!(rested.rested_at <= Instant::now(), "{priced} {took:?} {left:?}");
+        }
     }
 }
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -1,6 +1,6 @@
 //! The upstreams' side: attempts and probes, and what their answers are worth.
 
-use crate::pool::{Pool, Progress, Target, TcpConnection};
+use crate::pool::{Pool, Pooled, Progress, Target};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -49,36 +49,38 @@
     Some((head.status, head.headers, body.to_bytes()))
 }
 
+/// How an exchange ends that may have reached the upstream: it broke, or this came.
+type Exchanged = Option<(StatusCode, HeaderMap, Bytes)>;
+
 /// Sends a request and reads its answer. `None` if it is sure that its last byte was not written, so that nothing ran;
 /// nor is it written later, since the caller gives the connection up.
-async fn exchange(
-    connection: &mut TcpConnection<Full<Bytes>>, request: Request<Full<Bytes>>, hold_back: bool,
-) -> Option<(Outcome, Served)> {
-    connection.begin(hold_back);
-    let answer = match connection.sender.try_send_request(request).await {
-        Ok(answer) => answer,
+async fn exchange(pooled: &mut Pooled, request: Request<Full<Bytes>>, hold_back: bool) -> Option<Exchanged> {
+    pooled.begin(hold_back);
+    let connection = &mut pooled.connection;
+    match connection.sender.try_send_request(request).await {
+        // Guards against the second copy of an earlier answer: an upstream begins with a request's last byte, so what
+        // comes before that byte is out was not made for this request.
+        Ok(_) if connection.progress().is_unfinished() => None,
+        Ok(answer) => Some(whole(answer).await),
         Err(mut error) => {
             // Given back unwritten: it never left. Else it may have.
             let unsent = error.take_message().is_some() || connection.progress().is_unfinished();
-            return (!unsent).then(|| (Outcome::Reset, Served::default()));
+            (!unsent).then_some(None)
         }
-    };
-    // Guards against the second copy of an earlier answer: an upstream begins with a request's last byte, so what comes
-    // before that byte is out was not made for this request.
-    if connection.progress().is_unfinished() {
-        return None;
     }
-    let Some((status, headers, body)) = whole(answer).await else {
-        return Some((Outcome::Reset, Served::default()));
-    };
+}
+
+/// What the answer to an attempt is worth.
+fn judge(answer: Exchanged) -> (Outcome, Served) {
+    let Some((status, headers, body)) = answer else { return (Outcome::Reset, Served::default()) };
     let rejected = headers.get("X-Rejected").is_some_and(|value| value == "1");
-    Some(match status {
+    match status {
         StatusCode::OK => (Outcome::Ok, (body, headers.get(CONTENT_TYPE).cloned())),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => {
             (Outcome::Full, Served::default())
         }
         _ => (Outcome::Error, Served::default()),
-    })
+    }
 }
 
 /// One attempt, from choosing a connection to the end of the answer. `answered` is told first, then the
@@ -113,7 +115,7 @@
             request.headers_mut().insert("X-Budget", budget);
         }
         let progress = pooled.connection.progress();
-        let exchange = exchange(&mut pooled.connection, request, left >= UNHURRIED);
+        let exchange = exchange(&mut pooled, request, left >= UNHURRIED);
         let result = tokio::select! {
             biased;
             result = timeout_at(by, exchange) => result,
@@ -121,8 +123,10 @@
                 return answered(Outcome::Moot, Served::default());
             }
         };
-        let Some((outcome, body)) = result.unwrap_or(Some((Outcome::Timeout, Served::default()))) else {
-            continue;
+        let (outcome, body) = match result {
+            Ok(None) => continue,
+            Ok(Some(answer)) => judge(answer),
+            Err(_) => (Outcome::Timeout, Served::default()),
         };
         answered(outcome, body);
         if matches!(outcome, Outcome::Ok | Outcome::Full | Outcome::Error)
@@ -147,29 +151,32 @@
 pub async fn probe(
     pool: Pool, target: Arc<Target>, by: Instant, held_name: Option<&str>,
 ) -> (Outcome, Option<f64>) {
-    let mut pooled = match pool.connection(&target, by).await {
-        Ok(pooled) => pooled,
-        Err(outcome) => return (outcome, None),
-    };
     let path = if held_name.is_some() { "/stats" } else { "/health/live" };
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = Uri::from_static(path);
-    let host = HeaderValue::from_str(&target.addr.to_string());
-    request.headers_mut().extend(host.ok().map(|host| (HOST, host)));
-    let answer = async { whole(pooled.connection.sender.send_request(request).await.ok()?).await };
-    let (status, body) = match timeout_at(by, answer).await {
-        Ok(Some((status, _, body))) => (status, body),
-        Ok(None) => return (Outcome::Reset, None),
-        Err(_) => return (Outcome::Timeout, None),
-    };
-    // Guards against a report that can't be: then nothing is known of the load.
-    let report: Option<Value> = serde_json::from_slice(&body).ok();
-    let held = report.and_then(|report| report[held_name?].as_f64());
-    let held = held.filter(|held| (0.0..=MAX_HELD).contains(held));
-    if pooled.connection.sender.ready().await.is_ok() {
-        pool.keep(&target, pooled);
+    for _ in 0..CONNECTIONS {
+        let mut pooled = match pool.connection(&target, by).await {
+            Ok(pooled) => pooled,
+            Err(outcome) => return (outcome, None),
+        };
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = Uri::from_static(path);
+        let host = HeaderValue::from_str(&target.addr.to_string());
+        request.headers_mut().extend(host.ok().map(|host| (HOST, host)));
+        let (status, body) = match timeout_at(by, exchange(&mut pooled, request, false)).await {
+            Ok(None) => continue,
+            Ok(Some(Some((status, _, body)))) => (status, body),
+            Ok(Some(None)) => return (Outcome::Reset, None),
+            Err(_) => return (Outcome::Timeout, None),
+        };
+        // Guards against a report that can't be: then nothing is known of the load.
+        let report: Option<Value> = serde_json::from_slice(&body).ok();
+        let held = report.and_then(|report| report[held_name?].as_f64());
+        let held = held.filter(|held| (0.0..=MAX_HELD).contains(held));
+        if pooled.connection.sender.ready().await.is_ok() {
+            pool.keep(&target, pooled);
+        }
+        return (if status == StatusCode::OK { Outcome::Ok } else { Outcome::Full }, held);
     }
-    (if status == StatusCode::OK { Outcome::Ok } else { Outcome::Full }, held)
+    (Outcome::ConnectFailed, None)
 }
 
 #[cfg(test)]
@@ -189,7 +196,7 @@
 
     fn peer() -> (TcpListener, Pool, Arc<Target>) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let pool = Pool::new(4, LONG, LONG);
+        let pool = Pool::new(4, LONG, LONG, true);
         let target = pool.target(listener.local_addr().expect("an address"));
         (listener, pool, target)
     }
@@ -234,7 +241,7 @@
         // Nobody accepts: once the backlog is full, no further connection comes up.
         let _listener = socket.listen(0).expect("listening");
         let _full: Vec<_> = (0..8).map(|_| nonblocking_connect(addr)).collect();
-        let pool = Pool::new(4, LONG, LONG);
+        let pool = Pool::new(4, LONG, LONG, true);
         let (target, unwanted, by) = (pool.target(addr), Arc::new(Notify::new()), Instant::now() + LONG);
         let (tell, since) = (unwanted.clone(), Instant::now());
         let mut outcome = None;
@@ -394,6 +401,59 @@
         }
     }
 
+    /// Answers what comes first, then again in the middle of what comes second, on the same connection, and gives the right
+    /// answer on the next one.
+    fn answers_twice(
+        listener: TcpListener, end: &'static [u8], bodies: [&'static str; 2],
+    ) -> std::thread::JoinHandle<Vec<u8>> {
+        std::thread::spawn(move || {
+            let [old, new] = bodies.map(|body| {
+                format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+            });
+            let mut first = listener.accept().expect("a connection").0;
+            first.set_read_timeout(Some(LONG)).expect("set");
+            read_until(&mut first, end);
+            first.write_all(&old).expect("written");
+            first.read_exact(&mut [0; 8]).expect("the next one's start");
+            first.write_all(&old).expect("written");
+            let mut second = listener.accept().expect("another connection").0;
+            read_until(&mut second, end);
+            second.write_all(&new).expect("written");
+            let mut rest = Vec::new();
+            // A reset ends it as well.
+            drop(first.read_to_end(&mut rest));
+            rest
+        })
+    }
+
+    #[tokio::test]
+    async fn a_second_answer_is_not_taken_for_that_of_the_request_behind_it() {
+        let (listener, pool, target) = peer();
+        let peer = answers_twice(listener, b"some body", ["old", "new"]);
+        // In a hurry, so that nothing but the rest holds its last byte back.
+        let by = Instant::now() + UNHURRIED / 2;
+        for body in ["old", "new"] {
+            let (to, result) = tokio::sync::oneshot::channel();
+            let answered = |ended, served: Served| drop(to.send((ended, served.0)));
+            attempt(pool.clone(), target.clone(), outbound("some body"), by, Arc::default(), answered).await;
+            assert_eq!(result.await, Ok((Outcome::Ok, Bytes::from(body))), "not what belongs to another");
+        }
+        let rest = tokio::task::spawn_blocking(|| peer.join()).await.expect("run").expect("an end");
+        assert!(!rest.ends_with(b"some body"), "the request never ran on the first connection");
+    }
+
+    #[tokio::test]
+    async fn a_second_answer_is_not_taken_for_that_of_the_probe_behind_it() {
+        let (listener, pool, target) = peer();
+        let peer = answers_twice(listener, b"\r\n\r\n", ["{\"held\":1}", "{\"held\":2}"]);
+        for held in [1.0, 2.0] {
+            let probed = probe(pool.clone(), target.clone(), Instant::now() + LONG, Some("held")).await;
+            assert_eq!(probed, (Outcome::Ok, Some(held)), "not what belongs to another");
+        }
+        let rest = tokio::task::spawn_blocking(|| peer.join()).await.expect("run").expect("an end");
+        assert!(!rest.ends_with(b"\r\n\r\n"), "the probe was not whole there");
+    }
+
     #[tokio::test]
     async fn a_request_in_a_hurry_holds_nothing_back() {
         // Its last byte is out before the connection breaks, so that it may have run.
