Look before sending only where reports tell how much a server holds

At fault: balance.rs `is_blind`. Once its own attempts miss, a quiet sidecar looks before it sends; that takes its window away (admission.rs `limit`) and draws from the whole list. Without the number of held requests in a report a look shows only that the process runs: `decide` then finds every server in time, and all sidecars probe and send into the crowd that made them miss. Remedy: no looks where reports do not tell it. The test counts sends into a crowd: 100 of 100 without the change, under half with it.

--- a/src/api.rs
+++ b/src/api.rs
@@ -133,6 +133,8 @@
     pub probe_price: f64,
     /// What a new connection costs, in the same.
     pub handshake_price: f64,
+    /// Do load reports tell how many requests a server holds?
+    pub held_reported: bool,
     /// What good service is made of.
     pub goal: Goal,
     /// Attempts a request may have in all.
@@ -165,6 +167,7 @@
             cross_zone_price: 0.0,
             probe_price: 0.0,
             handshake_price: 0.0,
+            held_reported: false,
             goal: Goal { whole: 1.0, worst_class: 0.0 },
             max_attempts: 2,
             cancel: Permit::Denied,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -282,13 +282,13 @@
 
     // ---- looking before sending ----
 
-    /// Does own traffic leave servers unheard of until the news has faded? Then it does not know how
-    /// busy others keep them, and where it may it looks before it sends. Guards against probes that cost more than
-    /// all they can save: a look spares a miss at most, so it has to be likelier than its price.
+    /// Does own traffic leave servers unheard of until the news has faded? Then it does not know how busy others keep
+    /// them, and where a look shows that, it looks before it sends. Guards against probes that cost more than they can
+    /// save, a miss at most, and against looks that show no load: in a crowd they spare nothing and add to it.
     pub(crate) fn is_blind(&self) -> bool {
         let told = self.rate() * self.tau * FADED;
         let saves = self.ends.missing(self.now, self.tau * FADED);
-        let pays = saves >= PAIR * self.settings.probe_price.max(0.0);
+        let pays = saves >= PAIR * self.settings.probe_price.max(0.0) && self.settings.held_reported;
         self.settings.probes == Permit::Granted && pays && told < self.ready.len() as f64
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -73,6 +73,7 @@
         cross_zone_price: pairs.number("prices.crossZone", 0.0)?,
         probe_price: pairs.number("prices.probe", 0.0)?,
         handshake_price: pairs.number("prices.handshake", 0.0)?,
+        held_reported: held_field(text).is_some(),
         goal: Goal {
             // The worst stretch of time is part of the whole, and unknown until it is over.
             whole: pairs.number("blend.whole", 1.0)? + pairs.number("blend.worstWindow", 0.0)?,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -23,6 +23,7 @@
         cross_zone_price: 0.0,
         probe_price: 0.0,
         handshake_price: 0.0,
+        held_reported: true,
         goal: Goal { whole: 1.0, worst_class: 0.0 },
         max_attempts: 3,
         cancel: Permit::Granted,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -857,7 +857,7 @@
     assert!(sent(&said).is_none() && pair.len() == 2 && pair[0] != pair[1], "{said:?}");
     assert!(sent(&probed(&mut rig, pair[0], Outcome::Ok, Some(3.0))).is_none(), "the other may be better");
     assert_eq!(sent(&probed(&mut rig, pair[1], Outcome::Ok, Some(1.0))), Some(pair[1]));
-    // Where no load is reported the first to answer has the shorter queue.
+    // Where a report says nothing the first to answer has the shorter queue.
     let pair = probes(&rig.ask().1);
     probed(&mut rig, pair[0], Outcome::Ok, None);
     assert_eq!(sent(&rig.wait(10)), Some(pair[0]));
@@ -879,6 +879,31 @@
     assert!(sent(&rig.ask().1).is_some());
 }
 
+#[test]
+fn a_quiet_sidecar_keeps_to_its_window_where_a_look_shows_no_load() {
+    // Guards against hundreds of quiet sidecars that all miss in a crowd, and then probe, send on and never hold back.
+    let went_out = |held_reported: bool| {
+        let settings = Settings { held_reported, ..probing(100) };
+        let mut rig = Rig::new(settings, listed(40));
+        for _ in 0..100 {
+            let (id, said) = rig.ask();
+            for server in probes(&said) {
+                probed(&mut rig, server, Outcome::Ok, None);
+            }
+            // None is answered by its aim.
+            rig.wait(500);
+            rig.end(id, 0, Outcome::Timeout, 500);
+        }
+        let of = |what: fn(&Action) -> bool| rig.log.iter().filter(|(_, action)| what(action)).count();
+        (of(|a| matches!(a, Action::Send { .. })), of(|a| matches!(a, Action::Probe(_))))
+    };
+    let (sent, looks) = went_out(false);
+    assert_eq!(looks, 0);
+    assert!(sent < 50, "{sent} of 100 sent into the crowd");
+    let (sent, looks) = went_out(true);
+    assert!(sent == 100 && looks > 0, "where it shows the load it is worth a look: {sent}, {looks}");
+}
+
 #[test]
 fn a_quiet_sidecar_looks_only_where_misses_cost_more_than_probes() {
     // Guards against a hundred quiet sidecars that pay for two probes with each request in a calm fleet.
