End a shutdown before it is killed, whatever is left

Seen by a test: with a deadline of 4 s and a client that never reads its answer the shutdown took 5.66 s, where SIGKILL comes at 4.7 s. At fault: server.rs `shutdown_time`, the last call, the longest deadline and another second, meant for reading. Remedy: it ends by the longest deadline, counted for 3 s at least, and 0.66 s: after the last answer to whoever came by the last call, and before SIGKILL at 0.7 s. The test plays deadlines of 1.2, 4 and 12 s.

--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -49,6 +49,11 @@
 const LOOK: Duration = Duration::from_millis(20);
 /// After the longest deadline an answer is worth nothing, but may be read for so long; then nobody waits.
 const UNREAD: Duration = Duration::from_secs(1);
+/// SIGKILL comes 700 ms after the longest deadline, which counts for 3 s at least. An ending sidecar has ended before it,
+/// and after the last answer to whoever came by the last call.
+const DEADLINE_LEAST: Duration = Duration::from_secs(3);
+const BEFORE_KILL: Duration = Duration::from_millis(660);
+const _: () = assert!(LAST_CALL.as_millis() < BEFORE_KILL.as_millis(), "an answer is still owed");
 
 /// Clients may hold a third of all descriptors for requests. Of this third, this part stays free for new connections,
 /// since whoever finds none left can't even ask.
@@ -85,9 +90,9 @@
     of.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// What a shutdown takes at the most: what came by the last call has its deadline, and time to be read.
+/// What a shutdown takes at the most: what came by the last call has its deadline.
 pub fn shutdown_time(config: &Config) -> Duration {
-    LAST_CALL + config.longest() + UNREAD
+    config.longest().max(DEADLINE_LEAST) + BEFORE_KILL
 }
 
 impl Server {
@@ -547,6 +552,33 @@
         assert!(rest(client).await.contains("200 OK"));
     }
 
+    #[tokio::test(start_paused = true)]
+    async fn a_shutdown_ends_before_it_is_killed_whatever_is_left() {
+        for (deadline, killed) in [(1_200, 3_700), (4_000, 4_700), (12_000, 12_700)] {
+            let mut side = side(deadline, Some(4_096)).await;
+            // One never reads its answer, which fits neither here nor there; one never has any.
+            let clients = ["unread", "unanswered"].map(|id| {
+                let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+                let socket = socket.expect("a socket");
+                socket.set_recv_buffer_size(4_096).expect("set");
+                socket.connect(&side.addr.into()).expect("accepted");
+                let mut client = Blocking::from(socket);
+                client.write_all(text(id, "", 0).as_bytes()).expect("written");
+                client
+            });
+            let (_, _, answer) = side.request().await;
+            let (_, _, _never) = side.request().await;
+            assert!(answer.send(served(MAX_BODY)).is_ok());
+            side.wait_for(Phase::Answering).await;
+            let since = Instant::now();
+            side.server.shut_down().await;
+            let took = since.elapsed();
+            assert!(took < Duration::from_millis(killed), "{deadline}: {took:?}");
+            assert!(took >= Duration::from_millis(deadline.into()), "{deadline}: {took:?}");
+            drop(clients);
+        }
+    }
+
     #[tokio::test(start_paused = true)]
     async fn whoever_has_connected_by_the_last_call_is_served() {
         let mut side = side(9_000, None).await;
