Let a repeat reach its server inside its window or not at all

Request, keyed, window about a second: "12.898 chosen, 13.861 broke, 13.861 chosen, last byte written +158 ms" (14.019): its connection came up late. The rule was broken at 13.999. At fault: balance.rs `allowed` asks for the window when it chooses, and nothing did afterwards; upstream.rs `attempt` waits for a connection for up to its timeout. Remedy: Send says within what time its last byte has to be out; `attempt` ends as never sent when that is over, where it also ends for clients that left. Tests: the time in the action; a connection that never comes up; a withheld byte.

--- a/src/api.rs
+++ b/src/api.rs
@@ -54,6 +54,13 @@
     Unsafe,
 }
 
+impl Repeat {
+    /// How long after the first attempt that may have run a further one may still reach its server.
+    pub fn window(self) -> Duration {
+        if let Repeat::Keyed { window, .. } = self { window } else { Duration::MAX }
+    }
+}
+
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
@@ -342,6 +349,8 @@
         server: ServerId,
         /// Give the attempt up after this time.
         timeout: Duration,
+        /// What is not all written within this time stays here: its servers would not know it as a repeat any more.
+        out_within: Duration,
     },
     /// Final answer: refused; trying again is harmless.
     Refuse {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -170,9 +170,8 @@
         }
         let wait = ((aim_at - self.now - expected) * HOLD).max(0.0);
         let (now, lot) = (self.now, self.rng.f64());
-        // Guards against work for nothing: where an answer after the aim earns nothing, an attempt is given up by
-        // then. Some requests cost many times the usual; waited for to the end of their clients' patience, a few
-        // in a hundred would hold every server and the whole window. Repeats past their aim get as long as it is.
+        // Guards against work for nothing: where an answer after the aim earns nothing, an attempt is given up by then, as
+        // a few that cost many times the usual would hold every server. Repeats past their aim get as long as it is.
         let worthless = self.settings.classes[class].late_worth <= 0.0;
         let ends = match aim_at - now {
             left if worthless && left > 0.0 => left,
@@ -271,10 +270,12 @@
         let (job, held, attempt) = (request.job, chosen.held_now(self.now, self.tau), request.attempts.len());
         let (sent, timeout) = (self.now, request.ends - self.now);
         let scale = self.scale(&job) / self.fit(chosen, job.class);
-        let group = chosen.group(self.settings.classes[job.class].repeat);
-        let (fate, late) = (Fate::Out, false);
+        let repeat = self.settings.classes[job.class].repeat;
+        let (group, fate, late) = (chosen.group(repeat), Fate::Out, false);
+        let window = request.may_have_run().map_or(timeout, |first| first.sent + ms(repeat.window()) - sent);
         self.launch(id, attempt, Attempt { server, group, sent, timeout, scale, held, fate, late });
-        out.push(Action::Send { id, server, timeout: duration(timeout) });
+        let out_within = duration(timeout.min(window));
+        out.push(Action::Send { id, server, timeout: duration(timeout), out_within });
         if job.aim < timeout {
             self.set_timer(id, job.aim, out);
         }
@@ -369,11 +370,11 @@
             return None;
         }
         let soon = self.now + ms(self.settings.tick);
-        match (self.settings.classes[request.job.class].repeat, request.may_have_run()) {
+        let repeat = self.settings.classes[request.job.class].repeat;
+        match (repeat, request.may_have_run()) {
             (_, None) | (Repeat::Safe, _) => Some(None),
-            (Repeat::Keyed { window, .. }, Some(first)) => {
-                (soon < first.sent + ms(window)).then_some(first.group)
-            }
+            (_, Some(first)) if soon >= first.sent + ms(repeat.window()) => None,
+            (Repeat::Keyed { .. }, Some(first)) => Some(first.group),
             (Repeat::Unsafe, Some(_)) => None,
         }
     }
@@ -385,9 +386,8 @@
         let Some(group) = self.allowed(request) else { return Vec::new() };
         let class = request.job.class;
         let repeat = self.settings.classes[class].repeat;
-        // Slow start. Guards against pushing over a cold server: of all requests, at all sidecars, only a
-        // share by lot may go there, its warmth times half the multiple at which it falls. At most twice its
-        // even share is drawn to it, and a fleet that is not overloaded has room for the even share.
+        // Slow start. Guards against pushing over a cold server: of all requests, at all sidecars, only a share by lot may
+        // go there, its warmth times half the multiple at which it falls, which is twice its even share at most.
         let size = 1.0 / self.scale(&request.job);
         let multiple = self.settings.slow_start.fall_multiple / 2.0;
         let may = |s: &Server| {
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -4,7 +4,7 @@
 use crate::config::Config;
 use crate::discovery::News;
 use crate::pool::{Pool, Target};
-use crate::upstream::{self, Outbound, Served};
+use crate::upstream::{self, Outbound, Served, Times};
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use micapier::Balancer;
@@ -306,7 +306,9 @@
     /// Carries out one action; some end in an event of their own at once.
     fn act(&mut self, action: Action) -> Option<Event> {
         match action {
-            Action::Send { id, server, timeout } => return self.send(id, server, timeout),
+            Action::Send { id, server, timeout, out_within } => {
+                return self.send(id, server, timeout, out_within);
+            }
             Action::Refuse { id, retry_after } => {
                 self.answer(id, Answer::Refused(retry_after));
                 self.forget(id);
@@ -355,7 +357,9 @@
         }
     }
 
-    fn send(&mut self, id: RequestId, server: ServerId, timeout: Duration) -> Option<Event> {
+    fn send(
+        &mut self, id: RequestId, server: ServerId, timeout: Duration, out_within: Duration,
+    ) -> Option<Event> {
         let owed = self.requests.get_mut(&id)?;
         let attempt = owed.attempts.len();
         let now = Instant::now();
@@ -370,8 +374,8 @@
         let handle = self.handle.clone();
         let answered = move |outcome, served| handle.tell(Happening::Attempt(id, attempt, outcome, served));
         let (unwanted, outbound) = (Arc::<Notify>::default(), owed.outbound.clone());
-        let by = now + timeout;
-        let task = upstream::attempt(self.pool.clone(), target, outbound, by, unwanted.clone(), answered);
+        let times = Times { by: now + timeout, out_by: now + out_within };
+        let task = upstream::attempt(self.pool.clone(), target, outbound, times, unwanted.clone(), answered);
         let task = tokio::spawn(task).abort_handle();
         owed.attempts.push((now, Some(Out { task, unwanted })));
         None
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -8,12 +8,13 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use micapier::api::Outcome;
 use serde_json::Value;
+use std::future::{Future, poll_fn};
 use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::sync::futures::Notified;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// The most that a body may hold.
 pub const MAX_BODY: usize = 64 * 1024;
@@ -83,21 +84,37 @@
     }
 }
 
+/// How long an attempt lasts.
+#[derive(Clone, Copy)]
+pub struct Times {
+    /// Nobody waits for its answer any more.
+    pub by: Instant,
+    /// Its last byte is out, or never goes out.
+    pub out_by: Instant,
+}
+
 /// One attempt, from choosing a connection to the end of the answer. `answered` is told first, then the
 /// connection is made ready for the next. Guards against kept connections that prove dead before the request is all
-/// out: nothing ran, and another is taken. It ends as never sent if it is `unwanted` before its last byte is out, or its
-/// time is over before it has a connection.
+/// out: nothing ran, and another is taken. It ends as never sent if it is `unwanted`, or too late, before its last byte is
+/// out, or its time is over before it has a connection.
 pub async fn attempt(
-    pool: Pool, target: Arc<Target>, outbound: Arc<Outbound>, by: Instant, unwanted: Arc<Notify>,
+    pool: Pool, target: Arc<Target>, outbound: Arc<Outbound>, times: Times, unwanted: Arc<Notify>,
     answered: impl FnOnce(Outcome, Served),
 ) {
-    let unwanted = unwanted.notified();
+    let Times { by, out_by } = times;
+    // Guards against a connection that comes up late: what goes out then may be no repeat any more.
+    let (told, late) = (unwanted.notified(), sleep_until(out_by));
+    tokio::pin!(told, late);
+    let unwanted = poll_fn(|cx| {
+        let over = told.as_mut().poll(cx).is_ready() || late.as_mut().poll(cx).is_ready();
+        if over { Poll::Ready(()) } else { Poll::Pending }
+    });
     tokio::pin!(unwanted);
     for _ in 0..CONNECTIONS {
         let pooled = tokio::select! {
             biased;
-            () = unwanted.as_mut() => Err(Outcome::Moot),
             pooled = pool.connection(&target, by) => pooled,
+            () = unwanted.as_mut() => Err(Outcome::Moot),
         };
         let mut pooled = match pooled {
             Ok(pooled) => pooled,
@@ -140,7 +157,7 @@
 }
 
 /// Ends when the request is unwanted while its last byte is not out; once that is out, it has to be waited for.
-async fn until_unsent(unwanted: Pin<&mut Notified<'_>>, progress: &Progress) {
+async fn until_unsent(unwanted: Pin<&mut impl Future<Output = ()>>, progress: &Progress) {
     unwanted.await;
     if !progress.is_unfinished() {
         std::future::pending::<()>().await;
@@ -194,6 +211,11 @@
         Arc::new(Outbound { method, uri, headers, body })
     }
 
+    /// With no end to the time in which it may go out.
+    fn until(by: Instant) -> Times {
+        Times { by, out_by: by }
+    }
+
     fn peer() -> (TcpListener, Pool, Arc<Target>) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let pool = Pool::new(4, LONG, LONG, true);
@@ -227,7 +249,8 @@
         });
         let mut outcome = None;
         let by = Instant::now() + LONG;
-        attempt(pool, target, outbound("some body"), by, unwanted, |ended, _| outcome = Some(ended)).await;
+        attempt(pool, target, outbound("some body"), until(by), unwanted, |ended, _| outcome = Some(ended))
+            .await;
         assert_eq!(outcome, Some(Outcome::Moot));
         let rest = tokio::task::spawn_blocking(|| peer.join()).await.expect("run").expect("an end");
         assert!(rest.is_empty(), "the last byte stays here");
@@ -249,12 +272,48 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             tell.notify_one();
         };
-        let attempt = attempt(pool, target, outbound(""), by, unwanted, |ended, _| outcome = Some(ended));
+        let attempt =
+            attempt(pool, target, outbound(""), until(by), unwanted, |ended, _| outcome = Some(ended));
         tokio::join!(attempt, left);
         assert_eq!(outcome, Some(Outcome::Moot));
         assert!(since.elapsed() < Duration::from_millis(300), "{:?}", since.elapsed());
     }
 
+    #[tokio::test(start_paused = true)]
+    async fn what_is_too_late_for_a_repeat_does_not_wait_for_a_connection() {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
+        let addr = socket.local_addr().expect("an address");
+        // Nobody accepts: once the backlog is full, no further connection comes up.
+        let _listener = socket.listen(0).expect("listening");
+        let _full: Vec<_> = (0..8).map(|_| nonblocking_connect(addr)).collect();
+        let pool = Pool::new(4, LONG, LONG, true);
+        let (target, since) = (pool.target(addr), Instant::now());
+        let times = Times { by: since + LONG, out_by: since + Duration::from_millis(50) };
+        let mut outcome = None;
+        attempt(pool, target, outbound(""), times, Arc::default(), |ended, _| outcome = Some(ended)).await;
+        assert_eq!(outcome, Some(Outcome::Moot), "nothing ran, and the server is not to blame");
+        assert!(since.elapsed() < Duration::from_millis(100), "{:?}", since.elapsed());
+    }
+
+    #[tokio::test]
+    async fn what_is_too_late_for_a_repeat_is_not_finished() {
+        let (listener, pool, target) = peer();
+        // The last byte is withheld for a second, and after half of it the time is over.
+        let peer = std::thread::spawn(move || {
+            let mut seen = Vec::new();
+            drop(listener.accept().expect("a connection").0.read_to_end(&mut seen));
+            seen
+        });
+        let times = Times { by: Instant::now() + LONG, out_by: Instant::now() + Duration::from_millis(500) };
+        let mut outcome = None;
+        let answered = |ended, _: Served| outcome = Some(ended);
+        attempt(pool, target, outbound("some body"), times, Arc::default(), answered).await;
+        assert_eq!(outcome, Some(Outcome::Moot));
+        let seen = tokio::task::spawn_blocking(|| peer.join()).await.expect("run").expect("an end");
+        assert!(!seen.ends_with(b"some body"), "the last byte stays here");
+    }
+
     fn nonblocking_connect(addr: std::net::SocketAddr) -> socket2::Socket {
         let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
         let socket = socket.expect("a socket");
@@ -277,7 +336,8 @@
         });
         let mut outcome = None;
         let by = Instant::now() + LONG;
-        attempt(pool, target, outbound("some body"), by, unwanted, |ended, _| outcome = Some(ended)).await;
+        attempt(pool, target, outbound("some body"), until(by), unwanted, |ended, _| outcome = Some(ended))
+            .await;
         assert_eq!(outcome, Some(Outcome::Ok), "its time counts for the server's average");
         drop(peer.join());
     }
@@ -292,7 +352,7 @@
         tokio::time::advance(Duration::from_secs(1)).await;
         let mut outcome = None;
         let unwanted = Arc::default();
-        attempt(pool, target, outbound("x"), by, unwanted, |ended, _| outcome = Some(ended)).await;
+        attempt(pool, target, outbound("x"), until(by), unwanted, |ended, _| outcome = Some(ended)).await;
         assert!(outcome.is_some_and(Outcome::never_ran), "{outcome:?}");
         let seen = tokio::task::spawn_blocking(move || {
             let mut seen = Vec::new();
@@ -310,7 +370,7 @@
         let (to, result) = tokio::sync::oneshot::channel();
         let answered = |ended, served: Served| drop(to.send((ended, served.0)));
         let (by, unwanted) = (Instant::now() + time, Arc::default());
-        tokio::spawn(attempt(pool, target, outbound("some body"), by, unwanted, answered));
+        tokio::spawn(attempt(pool, target, outbound("some body"), until(by), unwanted, answered));
         // Read and answered with no turn of the runtime in between, and then the clock has gone past the time.
         listener.set_nonblocking(true).expect("set");
         let mut stream = loop {
@@ -357,7 +417,7 @@
         });
         let mut outcome = None;
         let (by, unwanted) = (Instant::now() + time, Arc::default());
-        attempt(pool, target, outbound(body), by, unwanted, |ended, _| outcome = Some(ended)).await;
+        attempt(pool, target, outbound(body), until(by), unwanted, |ended, _| outcome = Some(ended)).await;
         (outcome, made.load(Ordering::SeqCst))
     }
 
@@ -393,7 +453,7 @@
             let mut result = None;
             let by = Instant::now() + LONG;
             let answered = |ended, served: Served| result = Some((ended, served.0));
-            attempt(pool, target, outbound, by, Arc::default(), answered).await;
+            attempt(pool, target, outbound, until(by), Arc::default(), answered).await;
             assert_eq!(result, Some((Outcome::Ok, Bytes::from_static(b"new"))), "{early}");
             let (_second, rest) =
                 tokio::task::spawn_blocking(|| peer.join()).await.expect("run").expect("an end");
@@ -435,7 +495,8 @@
         for body in ["old", "new"] {
             let (to, result) = tokio::sync::oneshot::channel();
             let answered = |ended, served: Served| drop(to.send((ended, served.0)));
-            attempt(pool.clone(), target.clone(), outbound("some body"), by, Arc::default(), answered).await;
+            attempt(pool.clone(), target.clone(), outbound("some body"), until(by), Arc::default(), answered)
+                .await;
             assert_eq!(result.await, Ok((Outcome::Ok, Bytes::from(body))), "not what belongs to another");
         }
         let rest = tokio::task::spawn_blocking(|| peer.join()).await.expect("run").expect("an end");
--- a/src/bin/micapier-wirehost/wire.rs
+++ b/src/bin/micapier-wirehost/wire.rs
@@ -316,7 +316,7 @@
         r[1..5].copy_from_slice(&who.to_le_bytes());
         let millis = |time: &Duration| (time.as_secs_f64() * 1e3).to_le_bytes();
         match action {
-            Action::Send { id, server, timeout } => {
+            Action::Send { id, server, timeout, .. } => {
                 r[5..9].copy_from_slice(&id.0.to_le_bytes());
                 r[9..15].copy_from_slice(&server.0.to_le_bytes()[..6]);
                 r[15..23].copy_from_slice(&millis(timeout));
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -833,6 +833,32 @@
     assert_eq!(reached.len(), 40);
 }
 
+#[test]
+fn a_repeat_reaches_its_server_inside_the_window_or_not_at_all() {
+    // Guards against a repeat that is chosen in time and then waits for a connection.
+    let window = ms(1_000);
+    for (repeat, out_within) in [
+        (Repeat::Keyed { group: Group::All, window }, Some(700)),
+        (Repeat::Keyed { group: Group::All, window: ms(100_000) }, None),
+        (Repeat::Safe, None),
+    ] {
+        let mut rig = rig(repeat, 4);
+        rig.serve_many(30, |_| 20);
+        let times = |said: &[Action]| {
+            said.iter().find_map(|action| match action {
+                Action::Send { timeout, out_within, .. } => Some((*timeout, *out_within)),
+                _ => None,
+            })
+        };
+        let (id, said) = rig.ask();
+        let (timeout, first) = times(&said).expect("sent");
+        assert_eq!(first, timeout, "what is no repeat has all its time");
+        rig.wait(300);
+        let (timeout, again) = times(&rig.end(id, 0, Outcome::Reset, 300)).expect("sent again");
+        assert_eq!(again, out_within.map_or(timeout, ms), "{repeat:?}");
+    }
+}
+
 fn probing(instances: u32) -> Settings {
     let mut settings = settings(vec![class(Repeat::Unsafe)]);
     (settings.probes, settings.instances) = (Permit::Granted, instances);
