--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,6 +8,7 @@
 #[cfg(test)]
 mod backoff_tests;
 mod feed;
+mod figures;
 mod last_resort;
 mod link;
 #[cfg(test)]
@@ -17,8 +18,12 @@
 mod uplink;
 
 use eyre::{Result, WrapErr};
+use figures::Figures;
 use lugwharf_settings::Settings;
+use lugwharf_telemetry::MetricsEndpoint;
 use spdlog::prelude::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
@@ -26,8 +31,15 @@
 /// Commands that may wait for the owner of the tables; there is one feed and one uplink, so few are ever under way.
 const QUEUE: usize = 64;
 
+/// What the command line may choose.
+#[derive(Clone, Debug, Default)]
+pub struct AgentOptions {
+    /// The port of `GET /metrics`; not served if absent.
+    pub metrics_port: Option<u16>,
+}
+
 /// Runs until SIGTERM.
-pub async fn run(settings: Settings) -> Result<()> {
+pub async fn run(settings: Settings, options: AgentOptions) -> Result<()> {
     let mut hangup = signal(SignalKind::hangup()).wrap_err("SIGHUP")?;
     let mut terminate = signal(SignalKind::terminate()).wrap_err("SIGTERM")?;
     let feed_address = settings.feed_address();
@@ -37,7 +49,13 @@
     tokio::spawn(owner::run(queue));
     tokio::spawn(feed::serve(listener, commands.clone()));
     let (reload, reloads) = mpsc::channel(1);
-    tokio::spawn(uplink::run(settings, commands, reloads));
+    let figures = Arc::<Figures>::default();
+    if let Some(port) = options.metrics_port
+        && let Some(endpoint) = MetricsEndpoint::listen(SocketAddr::new(settings.listen_ip(), port)).await
+    {
+        tokio::spawn(figures::serve(endpoint, figures.clone(), commands.clone()));
+    }
+    tokio::spawn(uplink::run(settings, figures, commands, reloads));
     loop {
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -1,10 +1,10 @@
 //! One connection to a control process, with a time limit on each step.
 
 use crate::patience::Patience;
-use lugwharf_protocol::{AgentRequest, ControlReply, FrameError, read_frame, write_frame};
+use lugwharf_protocol::{AgentRequest, ControlReply, FrameError, connect_from, read_frame, write_frame};
 use socket2::SockRef;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -28,9 +28,9 @@
 }
 
 impl Link {
-    /// Connects to the agent port of a control process.
-    pub async fn open(address: SocketAddr) -> Result<Link, FrameError> {
-        let connected = timeout(CONNECT_WITHIN, TcpStream::connect(address)).await;
+    /// Connects to the agent port of a control process, from the address `source` where one is given.
+    pub async fn open(address: SocketAddr, source: Option<IpAddr>) -> Result<Link, FrameError> {
+        let connected = timeout(CONNECT_WITHIN, connect_from(source, address)).await;
         let stream = connected.map_err(|_| timed_out("connecting"))??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
--- a/crates/agent/src/link_tests.rs
+++ b/crates/agent/src/link_tests.rs
@@ -51,7 +51,7 @@
         // Holds the link open until the test ends.
         drop(kept.await);
     });
-    let mut link = Link::open(address).await.expect("a link");
+    let mut link = Link::open(address, None).await.expect("a link");
     tokio::time::pause();
     let begun = tokio::time::Instant::now();
     let result = link.call(&request(), LIMIT).await;
@@ -69,7 +69,7 @@
             stream.write_all(&encode(&reply()).expect("a frame")).await.expect("a write");
         }
     });
-    let mut link = Link::open(address).await.expect("a link");
+    let mut link = Link::open(address, None).await.expect("a link");
     for _ in 0..3 {
         assert_eq!(link.call(&request(), Duration::from_secs(60)).await.expect("a reply"), reply());
     }
@@ -98,7 +98,7 @@
 #[tokio::test]
 async fn a_late_reply_is_not_taken_for_the_next_calls(#[case] waits: bool) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
-    let mut link = Link::open(listener.local_addr().expect("an address")).await.expect("a link");
+    let mut link = Link::open(listener.local_addr().expect("an address"), None).await.expect("a link");
     let (mut peer, _) = listener.accept().await.expect("a link");
     if waits {
         tokio::time::pause();
--- a/crates/agent/src/owner.rs
+++ b/crates/agent/src/owner.rs
@@ -2,11 +2,15 @@
 
 use lugwharf_chain::Blake3;
 use lugwharf_distribution::Tables;
+use lugwharf_invariants::{Invariant, check};
 use lugwharf_protocol::{ServiceLoad, Update, VersionVector};
 use spdlog::prelude::*;
 use std::fmt;
 use tokio::sync::{mpsc, oneshot};
 
+/// Feeds that wait for something newer: one proxy, its successors, and those whose end is not noticed yet.
+const MOST_WAITERS: usize = 64;
+
 /// What the owner is asked.
 pub enum Command {
     /// Takes over what a control process sent. The answer is the vector after it.
@@ -21,6 +25,11 @@
         /// Where it goes.
         reply: oneshot::Sender<Report>,
     },
+    /// Asks for what the metrics tell of the tables.
+    Holdings {
+        /// Where it goes.
+        reply: oneshot::Sender<Holdings>,
+    },
     /// The proxy has told what it has under way.
     Loads(Vec<ServiceLoad>),
     /// Asks for whatever is newer than `have`; the answer comes once there is something.
@@ -32,6 +41,16 @@
     },
 }
 
+/// What the metrics tell of the tables.
+pub struct Holdings {
+    /// What this process has.
+    pub vector: VersionVector,
+    /// Servers on the list.
+    pub servers: usize,
+    /// Feeds that wait for something newer.
+    pub feeds: usize,
+}
+
 /// What a pull tells.
 pub struct Report {
     /// What this process has.
@@ -55,11 +74,21 @@
             Command::Report { reply } => {
                 let _ = reply.send(Report { have: tables.vector(), loads: loads.clone() });
             }
+            Command::Holdings { reply } => {
+                let (servers, feeds) = (tables.servers().len(), waiters.len());
+                let _ = reply.send(Holdings { vector: tables.vector(), servers, feeds });
+            }
             Command::Loads(newer) => loads = newer,
-            Command::Newer { have, reply } => waiters.push(Waiter { have, reply }),
+            Command::Newer { have, reply } => {
+                waiters.push(Waiter { have, reply });
+                let open = waiters.len();
+                check(Invariant::WaitersBounded, open <= MOST_WAITERS, || format!("{open} feeds wait"));
+            }
             Command::Apply { update, reply } => {
                 let before = tables.vector().config;
                 let result = tables.apply(&update);
+                let after = tables.vector().config;
+                check(Invariant::AgentVersionClimbs, after >= before, || format!("{after} after {before}"));
                 note_config(before, &tables);
                 if let Err(error) = result {
                     warn!("servers", kv: { outcome = "refused", error: = error });
--- a/crates/agent/src/uplink.rs
+++ b/crates/agent/src/uplink.rs
@@ -8,6 +8,7 @@
 //! over for an old one by a front that starts.
 
 use crate::backoff::Backoff;
+use crate::figures::{Figures, PullOutcome};
 use crate::last_resort::LastResort;
 use crate::link::Link;
 use crate::owner::{Command, Report};
@@ -15,7 +16,8 @@
 use lugwharf_protocol::{AgentRequest, ControlReply, FrameError, Update};
 use lugwharf_settings::Settings;
 use spdlog::prelude::*;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
@@ -41,16 +43,24 @@
     seeds: Vec<SocketAddr>,
     /// Agent addresses as the control plane names them.
     control: Vec<SocketAddr>,
+    /// The address that links come from, where it matters.
+    source: Option<IpAddr>,
+    figures: Arc<Figures>,
     commands: mpsc::Sender<Command>,
 }
 
 /// Runs until the owner of the tables ends.
-pub async fn run(settings: Settings, commands: mpsc::Sender<Command>, mut reloads: mpsc::Receiver<Settings>) {
+pub async fn run(
+    settings: Settings, figures: Arc<Figures>, commands: mpsc::Sender<Command>,
+    mut reloads: mpsc::Receiver<Settings>,
+) {
     let mut uplink = Uplink {
         node: settings.node.clone(),
         incarnation: incarnation(),
         seeds: seeds(&settings),
         control: Vec::new(),
+        source: settings.bind,
+        figures,
         commands,
     };
     let mut backoff = Backoff::new(uplink.incarnation);
@@ -123,12 +133,14 @@
                     }
                 }
                 Err(error) => {
+                    self.figures.pulled(PullOutcome::Failed);
                     debug!("control", kv: { outcome = "failed", control: = address, error: = error })
                 }
             }
         }
         if let Some(update) = last_resort.take().filter(|_| !was_served) {
-            debug!("control", kv: { outcome = "last_resort", config_version = update.vector.config });
+            self.figures.pulled(PullOutcome::LastResort);
+            info!("control", kv: { outcome = "last_resort", config_version = update.vector.config });
             self.apply(update).await;
         }
         was_served
@@ -139,7 +151,7 @@
     async fn follow(
         &mut self, address: SocketAddr, served: &mut bool, last_resort: &mut LastResort,
     ) -> Result<Left, FrameError> {
-        let mut link = Link::open(address).await?;
+        let mut link = Link::open(address, self.source).await?;
         let since = tokio::time::Instant::now();
         let mut wait = Duration::ZERO;
         loop {
@@ -155,12 +167,15 @@
                 link.call(&request, wait + GRACE).await?;
             self.learn(control);
             if !in_touch {
+                self.figures.pulled(PullOutcome::OutOfTouch);
                 last_resort.offer(update);
                 return Ok(Left::OutOfTouch);
             }
+            self.figures.pulled(PullOutcome::Served);
             self.apply(update).await;
             let preferred = self.order().first() == Some(&address);
             if !std::mem::replace(served, true) {
+                self.figures.followed();
                 info!("control", kv: { outcome = "following", control: = address });
             }
             if !preferred && since.elapsed() >= RETURN_AFTER {
--- a/crates/agent/src/uplink_tests.rs
+++ b/crates/agent/src/uplink_tests.rs
@@ -78,7 +78,9 @@
     let (commands, queue) = mpsc::channel(4);
     let applied = Arc::new(Mutex::new(Vec::new()));
     let control = Vec::new();
-    let uplink = Uplink { node: "front-1".to_owned(), incarnation: 1, seeds, control, commands };
+    let figures = Arc::default();
+    let (node, incarnation, source) = ("front-1".to_owned(), 1, None);
+    let uplink = Uplink { node, incarnation, seeds, control, source, figures, commands };
     let order = uplink.order();
     listeners.sort_by_key(|listener| order.iter().position(|known| *known == address(listener)));
     let answers = listeners.into_iter().zip(says);
@@ -99,7 +101,7 @@
                 applied.lock().expect("a list").push(update.vector.config);
                 let _ = reply.send(update.vector);
             }
-            Command::Loads(_) | Command::Newer { .. } => {}
+            Command::Loads(_) | Command::Newer { .. } | Command::Holdings { .. } => {}
         }
     }
 }
--- a/crates/chain/src/ballot_tests.rs
+++ b/crates/chain/src/ballot_tests.rs
@@ -63,7 +63,13 @@
     let accepted = |driver: &Driver| driver.count(|message| matches!(message, Message::Accepted { .. }));
     assert_eq!(accepted(&driver), 1);
     let synced = driver.synced.len();
+    // Such a proposal is itself a violation, which would stop the test.
+    let tolerance = lugwharf_invariants::tolerate();
+    let violations = || lugwharf_invariants::count(lugwharf_invariants::Invariant::OneValuePerBallot);
+    let before = violations();
     driver.receive(2, accept(View { chain: vec![member(1), member(2)], ..view(2, 3) }));
+    drop(tolerance);
+    assert!(violations() > before);
     driver.sync();
     assert_eq!((accepted(&driver), driver.synced.len()), (1, synced));
     driver.receive(2, accept(view(2, 3)));
--- a/crates/chain/src/replica/acceptor.rs
+++ b/crates/chain/src/replica/acceptor.rs
@@ -6,6 +6,7 @@
 use crate::message::{Holding, Message};
 use crate::model::{Ballot, View};
 use crate::record::Record;
+use lugwharf_invariants::{Invariant, check};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -58,7 +59,10 @@
                 self.acceptor.accepted = Some(Box::new((ballot, view.clone())));
                 self.record(&Record::Accept { ballot, view });
             }
-            Held::OtherValue => return self.log(LogLine::BallotReused { number: instance }),
+            Held::OtherValue => {
+                check(Invariant::OneValuePerBallot, false, || format!("view {instance}, ballot {ballot:?}"));
+                return self.log(LogLine::BallotReused { number: instance });
+            }
         }
         self.send_synced(from, Message::Accepted { instance, ballot });
     }
@@ -81,6 +85,10 @@
     }
 
     pub(super) fn on_decided(&mut self, view: View) {
+        if view.number == self.view.number {
+            let held = &self.view;
+            check(Invariant::OneViewPerNumber, view == **held, || format!("held {held:?}, told {view:?}"));
+        }
         if view.number > self.view.number {
             self.adopt(view);
         }
--- a/crates/chain/src/replica/calls.rs
+++ b/crates/chain/src/replica/calls.rs
@@ -5,6 +5,7 @@
 use crate::digest::Digest;
 use crate::message::{Message, Outcome};
 use crate::model::{CallId, Mark};
+use lugwharf_invariants::{Invariant, check};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,6 +28,8 @@
 struct Call {
     wish: Wish,
     begun: Duration,
+    /// The newest committed version that was known here when it began.
+    known: u64,
     /// Where it was passed to, in which view, and when.
     passed: Option<(SocketAddr, u64, Duration)>,
 }
@@ -59,7 +62,10 @@
         if self.calls.calls.len() >= MAX_CALLS {
             return self.answer(ticket, Answer::Unavailable);
         }
-        self.calls.calls.insert(ticket, Call { wish, begun: self.now, passed: None });
+        let known = self.newest.as_ref().map_or(0, |config| config.version);
+        self.calls.calls.insert(ticket, Call { wish, begun: self.now, known, passed: None });
+        let open = self.calls.calls.len();
+        check(Invariant::WaitersBounded, open <= MAX_CALLS, || format!("{open} calls"));
         self.drive_call(ticket);
     }
 
@@ -136,7 +142,9 @@
     fn answer_read(&mut self, ticket: Ticket, at_least: u64) {
         let known = self.newest.clone().filter(|config| config.version >= at_least);
         if known.is_some() {
-            self.calls.calls.remove(&ticket);
+            let call = self.calls.calls.remove(&ticket);
+            let before = call.map_or(0, |call| call.known);
+            check(Invariant::ReadIsNewest, at_least >= before, || format!("{at_least} after {before}"));
             self.answer(ticket, Answer::Config(known));
         }
     }
--- a/crates/chain/src/replica/replication.rs
+++ b/crates/chain/src/replica/replication.rs
@@ -6,6 +6,7 @@
 use crate::message::Message;
 use crate::model::{CommittedConfig, Entry, Mark, MemberId};
 use crate::record::Record;
+use lugwharf_invariants::{Invariant, check};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -123,6 +124,10 @@
     pub(super) fn commit_when_tail(&mut self) {
         let commits = self.is_active_tail() && self.installation.serving && self.synced > self.committed;
         let Some(mark) = self.history.mark(self.synced).filter(|_| commits) else { return };
+        let (replicas, tolerated) = (self.view.chain.len(), self.view.tolerated as usize);
+        check(Invariant::AcknowledgedOnEnoughDisks, replicas > tolerated && self.view.may_serve(), || {
+            format!("{mark:?} in view {} with {replicas} replicas, {tolerated} tolerated", self.view.number)
+        });
         self.commit(mark);
         let addresses: Vec<SocketAddr> = self.peers.fresh_addresses(self.now);
         for address in addresses {
@@ -154,7 +159,12 @@
     }
 
     fn publish_config(&mut self, config: CommittedConfig) {
-        if self.newest.as_ref().is_some_and(|newest| newest.version >= config.version) {
+        let newest = self.newest.as_deref();
+        if let Some(same) = newest.filter(|newest| newest.version == config.version) {
+            let version = config.version;
+            check(Invariant::OneConfigurationPerVersion, same.bytes == config.bytes, || format!("{version}"));
+        }
+        if newest.is_some_and(|newest| newest.version >= config.version) {
             return;
         }
         let config = Arc::new(config);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -40,6 +40,7 @@
 use command::Command;
 use eyre::{Result, WrapErr, eyre};
 use lugwharf_settings::Settings;
+use lugwharf_telemetry::MetricsEndpoint;
 use metrics::Refusals;
 use owner::Owner;
 use shutdown::Outcome;
@@ -61,15 +62,22 @@
 /// After the longest time that a shutdown takes, the time for an owner of the state that is busy.
 const OVERDUE: Duration = Duration::from_millis(500);
 
+/// What the command line may choose.
+#[derive(Clone, Debug, Default)]
+pub struct ControlOptions {
+    /// A port for `GET /metrics` beside the one of the operator's API; not served there if absent.
+    pub metrics_port: Option<u16>,
+}
+
 /// Runs until SIGTERM.
-pub async fn run(settings: Settings) -> Result<()> {
+pub async fn run(settings: Settings, options: ControlOptions) -> Result<()> {
     let mut hangup = signal(SignalKind::hangup()).wrap_err("SIGHUP")?;
     let mut terminate = signal(SignalKind::terminate()).wrap_err("SIGTERM")?;
     let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or(DEFAULT_GRACE);
     let control = settings.listen.control.ok_or_else(|| eyre!("settings: Listen.Control is missing"))?;
     let ports = settings.internal_ports();
-    let peer_listener = listen(SocketAddr::new(settings.ip, ports.peer)).await?;
-    let agent_listener = listen(SocketAddr::new(settings.ip, ports.agent)).await?;
+    let peer_listener = listen(SocketAddr::new(settings.listen_ip(), ports.peer)).await?;
+    let agent_listener = listen(SocketAddr::new(settings.listen_ip(), ports.agent)).await?;
     let operator_listener = listen(control).await?;
     let (commands, queue) = mpsc::channel(QUEUE);
     let refusals = Refusals::default();
@@ -79,6 +87,11 @@
     tokio::spawn(agents::accept(agent_listener, commands.clone()));
     operator::serve(operator_listener, commands.clone(), refusals)?;
     tokio::spawn(tick(commands.clone()));
+    if let Some(port) = options.metrics_port
+        && let Some(endpoint) = MetricsEndpoint::listen(SocketAddr::new(settings.listen_ip(), port)).await
+    {
+        tokio::spawn(metrics::serve(endpoint, commands.clone()));
+    }
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -4,18 +4,20 @@
 //! the status at each call, so that nothing is spent on them in between. `docs/OPERATING.md` lists the names.
 
 use crate::answer::ErrorKind;
+use crate::command::Command;
 use crate::status::Status;
 use lugwharf_protocol::{ServerEntry, ServerState, Stage};
 use lugwharf_stages::OrderAnswer;
+pub use lugwharf_telemetry::CONTENT_TYPE;
+use lugwharf_telemetry::{InvariantCounters, MetricsEndpoint};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
+use tokio::sync::mpsc;
 
-/// The type of the text.
-pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// What all names begin with.
 const PREFIX: &str = "lugwharf_control";
 
@@ -81,6 +83,7 @@
     pulls: Family<AnswerLabel, Counter>,
     servers: Family<ServerLabels, Gauge>,
     gauges: Gauges,
+    invariants: InvariantCounters,
 }
 
 #[derive(Default)]
@@ -152,6 +155,7 @@
             pulls: Family::default(),
             servers: Family::default(),
             gauges: Gauges::default(),
+            invariants: InvariantCounters::default(),
         };
         let counters = [
             ("view_changes", "Views that this process has learned of", &metrics.view_changes),
@@ -168,6 +172,7 @@
         registry.register("pulls", "Pulls of agents by answer", metrics.pulls.clone());
         registry.register("servers", "Servers on the list", metrics.servers.clone());
         metrics.gauges.register(&mut registry);
+        metrics.invariants.register(&mut registry);
         Metrics { registry, ..metrics }
     }
 
@@ -188,6 +193,7 @@
     /// The text as things stand.
     pub fn render<'a>(&self, status: &Status, servers: impl Iterator<Item = &'a ServerEntry>) -> String {
         self.gauges.set(status);
+        self.invariants.refresh();
         // Services and stages come and go.
         self.servers.clear();
         for entry in servers {
@@ -231,3 +237,13 @@
 fn size(value: usize) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
+
+/// Passes requests for the text on to the owner of the state, for as long as the process runs.
+pub async fn serve(endpoint: MetricsEndpoint, commands: mpsc::Sender<Command>) {
+    let MetricsEndpoint { mut requests } = endpoint;
+    while let Some(reply) = requests.recv().await {
+        if commands.send(Command::Metrics { reply }).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -8,6 +8,7 @@
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use lugwharf_invariants::{Invariant, check};
 use lugwharf_protocol::Stage;
 use lugwharf_stages::{Order, OrderAnswer};
 use serde::Serialize;
@@ -95,9 +96,11 @@
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
     let (mut sender, connection) = handshake(TokioIo::new(stream)).await?;
-    if !call.held.lasts(Instant::now()) {
+    let now = Instant::now();
+    if !call.held.lasts(now) {
         return Err(LeaseEnded.into());
     }
+    check(Invariant::OrderUnderLease, call.held.lasts(now), || format!("token {}", call.held.token));
     let exchange = sender.send_request(request);
     tokio::pin!(connection, exchange);
     // Both end with this call, so that giving it up resets the connection.
--- a/crates/control/src/owner.rs
+++ b/crates/control/src/owner.rs
@@ -15,6 +15,7 @@
 use lugwharf_chain::{self as chain, Answer, Replica};
 use lugwharf_distribution::Tables;
 use lugwharf_election::{self as election, Elector};
+use lugwharf_invariants::{Invariant, check};
 use lugwharf_membership::{Census, CensusSettings};
 use lugwharf_protocol::ConfigRecord;
 use lugwharf_settings::Settings;
@@ -143,6 +144,7 @@
             tokio::spawn(reader::run(cloud, holding, commands));
         }
         let pulls = Pulls::paced(Duration::from_millis(settings.bounds.config_ms / CONFIGURATIONS_IN_BOUND));
+        let peers = Peers::new(me, settings.bind);
         let mut owner = Owner {
             settings,
             started,
@@ -158,7 +160,7 @@
             orders,
             engines: BTreeMap::new(),
             pulls,
-            peers: Peers::new(me),
+            peers,
             batches: opened.batches,
             calls: BTreeMap::new(),
             next_ticket: 1,
@@ -373,6 +375,10 @@
 
     fn committed(&mut self, config: &chain::CommittedConfig) {
         let record = ConfigRecord { version: config.version, bytes: config.bytes.to_vec() };
+        let before = self.tables.vector().config;
+        check(Invariant::CommittedVersionClimbs, record.version > before, || {
+            format!("version {} after {before}", record.version)
+        });
         if self.tables.take_config(Arc::new(record)) {
             self.commits.note(self.now(), config.version);
             self.metrics.commits.inc();
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -5,12 +5,12 @@
 use crate::command::Command;
 use crate::links::{self, Terms};
 use crate::message::PeerBody;
-use lugwharf_protocol::{FrameError, encode, read_frame};
+use lugwharf_protocol::{FrameError, connect_from, encode, read_frame};
 use serde::{Deserialize, Serialize};
 use socket2::SockRef;
 use spdlog::prelude::*;
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -47,13 +47,15 @@
 /// The links that this process opens.
 pub struct Peers {
     me: SocketAddr,
+    /// The address that links come from, where it matters.
+    source: Option<IpAddr>,
     queues: HashMap<SocketAddr, mpsc::Sender<Arc<[u8]>>>,
 }
 
 impl Peers {
     /// Links from the process at `me`.
-    pub fn new(me: SocketAddr) -> Peers {
-        Peers { me, queues: HashMap::new() }
+    pub fn new(me: SocketAddr, source: Option<IpAddr>) -> Peers {
+        Peers { me, source, queues: HashMap::new() }
     }
 
     /// Sends a message, or drops it if too many wait already.
@@ -84,7 +86,7 @@
                 return;
             }
             let (queue, frames) = mpsc::channel(QUEUE);
-            tokio::spawn(write_frames(to, frames));
+            tokio::spawn(write_frames(to, self.source, frames));
             self.queues.insert(to, queue);
         }
         if let Some(queue) = self.queues.get(&to) {
@@ -98,19 +100,19 @@
     }
 }
 
-async fn connect(to: SocketAddr) -> std::io::Result<TcpStream> {
-    let stream = timeout(CONNECT_WITHIN, TcpStream::connect(to)).await??;
+async fn connect(to: SocketAddr, source: Option<IpAddr>) -> std::io::Result<TcpStream> {
+    let stream = timeout(CONNECT_WITHIN, connect_from(source, to)).await??;
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
     Ok(stream)
 }
 
 /// Writes what is queued for one peer until the queue is closed.
-async fn write_frames(to: SocketAddr, mut frames: mpsc::Receiver<Arc<[u8]>>) {
+async fn write_frames(to: SocketAddr, source: Option<IpAddr>, mut frames: mpsc::Receiver<Arc<[u8]>>) {
     let mut link: Option<TcpStream> = None;
     while let Some(frame) = frames.recv().await {
         if link.is_none() {
-            link = connect(to).await.ok();
+            link = connect(to, source).await.ok();
         }
         let Some(stream) = &mut link else {
             sleep(CONNECT_AGAIN).await;
--- a/crates/election/src/elector.rs
+++ b/crates/election/src/elector.rs
@@ -8,6 +8,7 @@
 use crate::tenure::Tenure;
 use crate::voter::{Asked, Request, Voter};
 use fastrand::Rng;
+use lugwharf_invariants::{Invariant, check};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -346,6 +347,8 @@
     }
 
     fn hear_of(&mut self, holder: SocketAddr, token: FencingToken) {
+        let other = self.known.filter(|(known, of)| *of == token && *known != holder);
+        check(Invariant::OneHolderPerToken, other.is_none(), || format!("{holder} beside {other:?}"));
         if self.known.is_none_or(|(_, known)| token >= known) {
             self.known = Some((holder, token));
         }
--- a/crates/emulator/src/cluster/mod.rs
+++ b/crates/emulator/src/cluster/mod.rs
@@ -32,6 +32,10 @@
     pub const INTERNAL_LAST: u16 = 7_735;
     /// The agent's feed of its proxy.
     pub const FEED: u16 = 7_722;
+    /// `GET /metrics` of the proxy, or of a control process.
+    pub const METRICS: u16 = 7_733;
+    /// `GET /metrics` of the agent.
+    pub const AGENT_METRICS: u16 = 7_734;
 }
 
 /// The pause between looks at a process that is starting.
@@ -222,6 +226,25 @@
         self.processes.get_mut(name)
     }
 
+    /// The metrics of both processes of a front, proxy first, or nothing of one that does not answer.
+    pub async fn front_metrics(&self, index: usize) -> [Option<String>; 2] {
+        let ip = self.subnet.front(index);
+        let proxy = metrics_text(SocketAddr::from((ip, ports::METRICS))).await;
+        [proxy, metrics_text(SocketAddr::from((ip, ports::AGENT_METRICS))).await]
+    }
+
+    /// The metrics of a control process, if it answers.
+    pub async fn control_metrics(&self, index: usize) -> Option<String> {
+        metrics_text(SocketAddr::from((self.subnet.control(index), ports::METRICS))).await
+    }
+
+    /// Lines that tell of violated invariants.
+    pub fn violations(&self) -> Vec<String> {
+        let logs = self.logs();
+        let is_violation = |line: &&str| line.contains("[invariant]") || line.contains("outcome=violated");
+        logs.lines().filter(is_violation).map(str::to_owned).collect()
+    }
+
     /// What all processes have written so far, by name.
     pub fn logs(&self) -> String {
         let mut text = String::new();
@@ -261,7 +284,10 @@
         std::fs::create_dir_all(&folder)?;
         let settings = folder.join("settings.toml");
         std::fs::write(&settings, spec.to_toml())?;
-        let process = Process::start(&self.binary, role, &self.options.arguments, &settings, &folder)?;
+        let metrics = if role == "agent" { ports::AGENT_METRICS } else { ports::METRICS };
+        let mut arguments = self.options.arguments.clone();
+        arguments.extend(["--metrics".to_owned(), metrics.to_string()]);
+        let process = Process::start(&self.binary, role, &arguments, &settings, &folder)?;
         self.processes.insert(name.to_owned(), process);
         Ok(())
     }
@@ -308,11 +334,22 @@
 
 impl Drop for Cluster {
     fn drop(&mut self) {
+        let violations = self.violations();
         self.processes.clear();
         let _ = std::fs::remove_dir_all(&self.folder);
+        // No test passes beside a violated invariant. One that fails already tells its own reason.
+        if !std::thread::panicking() {
+            assert!(violations.is_empty(), "violated invariants: {violations:#?}");
+        }
     }
 }
 
+/// What `GET /metrics` at that address tells, if it answers.
+async fn metrics_text(address: SocketAddr) -> Option<String> {
+    let answer = call_once(address, &Request::new("GET", "/metrics")).await.ok()?;
+    (answer.status == 200).then(|| String::from_utf8_lossy(&answer.body).into_owned())
+}
+
 fn control_name(index: usize) -> String {
     format!("control-{index}")
 }
--- /dev/null
+++ b/crates/invariants/tests/counting.rs
@@ -0,0 +1,25 @@
+//! Violations in a process in service: counted, reported a few times, and survived.
+
+use lugwharf_invariants::{Invariant, Violation, check, count, count_only, report_to, total};
+use std::sync::Mutex;
+
+static REPORTED: Mutex<Vec<Violation>> = Mutex::new(Vec::new());
+
+fn note(violation: &Violation) {
+    REPORTED.lock().expect("no panic in between").push(violation.clone());
+}
+
+#[test]
+fn violations_are_counted_by_name_and_only_the_first_are_reported() {
+    count_only();
+    report_to(note);
+    check(Invariant::RetriesPaid, true, || unreachable!("facts are not asked where it holds"));
+    assert_eq!((count(Invariant::RetriesPaid), total()), (0, 0));
+    for turn in 1..=15 {
+        check(Invariant::RetriesPaid, false, || format!("turn {turn}"));
+    }
+    assert_eq!((count(Invariant::RetriesPaid), count(Invariant::OneFinalAnswer), total()), (15, 0, 15));
+    let reported = REPORTED.lock().expect("no panic in between");
+    assert_eq!(reported.len(), 10);
+    assert_eq!((reported[9].count, reported[9].facts.as_str()), (10, "turn 10"));
+}
--- a/crates/lugwharf/src/commands.rs
+++ b/crates/lugwharf/src/commands.rs
@@ -4,7 +4,10 @@
 use crate::usage::UsageError;
 use eyre::{Result, WrapErr};
 use getopts::{Matches, Options};
+use lugwharf_agent::AgentOptions;
 use lugwharf_config::{Configuration, SCHEMA};
+use lugwharf_control::ControlOptions;
+use lugwharf_proxy::ProxyOptions;
 use lugwharf_settings::{Settings, SettingsError};
 use std::future::Future;
 use std::io::Write;
@@ -108,6 +111,9 @@
     if command.is_role {
         let level = matches.opt_str("log").unwrap_or_else(|| logging::DEFAULT_LEVEL.to_owned());
         logging::start(logging::level(&level).ok_or_else(|| wrong(format!("no log level {level:?}")))?)?;
+        // A process in service counts what should never be and goes on, in every build.
+        lugwharf_invariants::count_only();
+        lugwharf_telemetry::log_violations();
     }
     (command.run)(&matches)
 }
@@ -124,6 +130,7 @@
         "the least severe level that is logged: error, warn, info, debug, trace",
         "LEVEL",
     );
+    options.optopt("m", "metrics", "serve GET /metrics on this port of the machine's address", "PORT");
     options.optopt("s", "settings", "the settings file, if not the one in LUGWHARF_BOOT", "FILE");
     options
 }
@@ -165,16 +172,28 @@
     result
 }
 
+/// The port that the option `--metrics` names.
+fn metrics_port(matches: &Matches) -> Result<Option<u16>> {
+    let Some(text) = matches.opt_str("metrics") else { return Ok(None) };
+    let port = text.parse().ok().filter(|port| *port > 0);
+    let port = port.ok_or(UsageError::Port { option: "metrics", value: text })?;
+    Ok(Some(port))
+}
+
 fn run_proxy(matches: &Matches) -> Result<()> {
-    block_on(lugwharf_proxy::run(settings(matches)?))
+    let metrics_port = metrics_port(matches)?;
+    let options = ProxyOptions { metrics_port, ..ProxyOptions::default() };
+    block_on(lugwharf_proxy::run_with(settings(matches)?, options))
 }
 
 fn run_agent(matches: &Matches) -> Result<()> {
-    block_on(lugwharf_agent::run(settings(matches)?))
+    let options = AgentOptions { metrics_port: metrics_port(matches)? };
+    block_on(lugwharf_agent::run(settings(matches)?, options))
 }
 
 fn run_control(matches: &Matches) -> Result<()> {
-    block_on(lugwharf_control::run(settings(matches)?))
+    let options = ControlOptions { metrics_port: metrics_port(matches)? };
+    block_on(lugwharf_control::run(settings(matches)?, options))
 }
 
 /// The one operand; its presence was checked.
--- a/crates/lugwharf/src/usage.rs
+++ b/crates/lugwharf/src/usage.rs
@@ -9,6 +9,14 @@
     /// There is no such subcommand.
     #[error("unknown subcommand {0:?}; see lugwharf --help")]
     UnknownSubcommand(String),
+    /// An option does not name a port.
+    #[error("--{option}: {value:?} is no port")]
+    Port {
+        /// The option.
+        option: &'static str,
+        /// What it was given.
+        value: String,
+    },
     /// The subcommand does not take that.
     #[error("{name}: {reason}; see lugwharf {name} --help")]
     Subcommand {
--- /dev/null
+++ b/crates/lugwharf/tests/explained.rs
@@ -0,0 +1,145 @@
+//! A request that failed is explained by the output of the processes alone.
+
+mod support;
+
+use lugwharf_emulator::cluster::{Signal, poll};
+use lugwharf_emulator::fault::{Fault, Matcher};
+use rstest::rstest;
+use std::collections::BTreeMap;
+use support::{Fleet, PLAIN_SERVICE, SMALL};
+
+const OPERATING: &str = include_str!("../../../docs/OPERATING.md");
+
+/// The fields of the line about a request, once it is there.
+async fn line_of(fleet: &Fleet, request_id: &str) -> String {
+    let find = || {
+        let logs = fleet.cluster.logs();
+        let has = |line: &&str| line.contains("[request]") || line.contains("request {");
+        let id = format!("request_id={request_id}");
+        logs.lines().filter(has).find(|line| line.contains(&id)).map(str::to_owned)
+    };
+    assert!(poll(|| async { find().is_some() }).await, "no line\n{}", fleet.cluster.logs());
+    find().expect("a line")
+}
+
+/// The value of a field that holds no space.
+fn field<'a>(line: &'a str, name: &str) -> &'a str {
+    let start = format!("{name}=");
+    line.split_whitespace().find_map(|part| part.strip_prefix(start.as_str())).unwrap_or("")
+}
+
+#[rstest]
+#[case::lost_answer(Fault::LoseAnswer, "broken", "502")]
+#[case::garbage(Fault::Garbage, "broken", "502")]
+#[tokio::test]
+async fn a_broken_request_tells_its_server_its_connection_and_what_was_in_force(
+    #[case] fault: Fault, #[case] outcome: &str, #[case] status: &str,
+) {
+    let mut fleet = Fleet::start(SMALL).await;
+    // The list that a process reads once after its start has no epoch.
+    let has_reader = || async {
+        let [proxy, _] = fleet.cluster.front_metrics(0).await;
+        proxy.is_some_and(|text| metrics(&text)["lugwharf_proxy_list_epoch"] != "0")
+    };
+    assert!(poll(has_reader).await, "nobody reads the list\n{}", fleet.cluster.logs());
+    let request = fleet.work();
+    for server in &fleet.plain {
+        let matcher = Matcher { request_id: Some(request.request_id.clone()), ..Matcher::any() };
+        server.inject(matcher, fault.clone(), 1);
+    }
+    let answer = fleet.send(0, &request).await;
+    assert_eq!(answer.status.map(|status| status.to_string()).as_deref(), Some(status));
+    let line = line_of(&fleet, &request.request_id).await;
+    let told = ["outcome", "status", "service", "config_version"].map(|name| field(&line, name));
+    assert_eq!(told, [outcome, status, PLAIN_SERVICE, "1"], "{line}");
+    let arrivals = fleet.world.ledger().arrivals_of(&request.request_id);
+    assert_eq!(arrivals.len(), 1);
+    let send = format!("sends=[{}/whole connection:", arrivals[0].instance);
+    assert!(line.contains(&send) && line.contains(" broken"), "{send} is not in {line}");
+    // What it was routed by is found again at the agent, and the reader of the list at control.
+    let [proxy, agent] = fleet.cluster.front_metrics(0).await.map(|text| metrics(&text.expect("metrics")));
+    assert_eq!(field(&line, "list_epoch"), agent["lugwharf_agent_list_epoch"]);
+    assert_eq!(proxy["lugwharf_proxy_config_version"], agent["lugwharf_agent_config_version"]);
+    let gained = format!("outcome=gained token={}", field(&line, "list_epoch"));
+    assert!(fleet.cluster.logs().contains(&gained), "{gained}\n{}", fleet.cluster.logs());
+    assert_eq!(proxy["lugwharf_proxy_requests_total{outcome=\"broken\"}"], "1");
+}
+
+#[tokio::test]
+async fn a_request_that_no_server_takes_in_time_tells_that_it_waited() {
+    let mut fleet = Fleet::start(SMALL).await;
+    let mut request = fleet.work();
+    request.deadline_ms = 700;
+    for server in &fleet.plain {
+        let matcher = Matcher { request_id: Some(request.request_id.clone()), ..Matcher::any() };
+        server.inject(matcher, Fault::Hang, 1);
+    }
+    fleet.send(0, &request).await;
+    let line = line_of(&fleet, &request.request_id).await;
+    assert!(["deadline", "left"].contains(&field(&line, "outcome")), "{line}");
+    assert!(field(&line, "limit_ms").parse::<u64>().is_ok_and(|limit| limit <= 700), "{line}");
+}
+
+#[tokio::test]
+async fn a_request_before_any_configuration_tells_so() {
+    let mut fleet = Fleet::start(SMALL).await;
+    // A proxy without its agent comes up without a configuration.
+    fleet.cluster.kill_front(0, "agent").expect("a kill");
+    fleet.cluster.kill_front(0, "proxy").expect("a kill");
+    fleet.cluster.start_front_process(0, "proxy").expect("a start");
+    let request = fleet.work();
+    let address = fleet.cluster.front_address(0);
+    let answered =
+        || async { lugwharf_emulator::client::Client::new(address).send(&request).await.status == Some(503) };
+    assert!(poll(answered).await, "{}", fleet.cluster.logs());
+    let line = line_of(&fleet, &request.request_id).await;
+    let told = ["outcome", "route", "config_version", "sends"].map(|name| field(&line, name));
+    assert_eq!(told[..3], ["not_ready", "-", "0"], "{line}");
+    assert!(told[3].starts_with("[]"), "{line}");
+}
+
+/// Samples by name and labels.
+fn metrics(text: &str) -> BTreeMap<String, String> {
+    let samples = text.lines().filter(|line| !line.starts_with('#'));
+    let pairs = samples.filter_map(|line| line.rsplit_once(' '));
+    pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
+}
+
+/// The page that operators read names every metric, and all invariants stand at 0.
+#[tokio::test]
+async fn the_metrics_of_each_role_are_documented_and_tell_of_no_violation() {
+    let fleet = Fleet::start(SMALL).await;
+    let [proxy, agent] = fleet.cluster.front_metrics(0).await;
+    let control = fleet.cluster.control_metrics(0).await;
+    for (prefix, text) in [("proxy", proxy), ("agent", agent), ("control", control)] {
+        let text = text.unwrap_or_else(|| panic!("{prefix} tells nothing\n{}", fleet.cluster.logs()));
+        let start = format!("# TYPE lugwharf_{prefix}_");
+        for metric in text.lines().filter_map(|line| line.strip_prefix(start.as_str())) {
+            let (name, kind) = metric.split_once(' ').expect("a name and a type");
+            let shown = if kind == "counter" { format!("`{name}_total`") } else { format!("`{name}`") };
+            assert!(OPERATING.contains(&shown), "{shown} of {prefix} is not in docs/OPERATING.md");
+        }
+        let violations = format!("lugwharf_{prefix}_invariant_violations_total");
+        let counts: Vec<String> = metrics(&text)
+            .into_iter()
+            .filter(|(name, _)| name.starts_with(&violations))
+            .map(|(_, count)| count)
+            .collect();
+        assert!(counts.len() > 10 && counts.iter().all(|count| count == "0"), "{text}");
+    }
+}
+
+#[tokio::test]
+async fn a_metrics_port_that_is_taken_does_not_keep_a_process_from_serving() {
+    let mut fleet = Fleet::start(SMALL).await;
+    // The control process of another machine of the same address would have the port.
+    let address = fleet.cluster.control_address(0);
+    fleet.cluster.signal_control(0, Signal::Kill).expect("a kill");
+    fleet.cluster.process("control-0").expect("a process").wait().expect("its end");
+    let port = lugwharf_emulator::cluster::ports::METRICS;
+    let _holder = std::net::TcpListener::bind((address.ip(), port)).expect("the port");
+    fleet.cluster.start_control(0).expect("a start");
+    assert!(poll(|| async { fleet.cluster.control_status(0).await.is_some() }).await);
+    let logs = fleet.cluster.logs();
+    assert!(logs.contains("outcome=not_served"), "{logs}");
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -10,12 +10,14 @@
 #![forbid(unsafe_code)]
 
 mod agent;
+mod connect;
 mod feed;
 mod frame;
 mod packed;
 mod table;
 
 pub use agent::{AgentRequest, ControlReply, ServiceLoad, Update, VersionVector};
+pub use connect::connect_from;
 pub use feed::{FeedMessage, ProxyReport};
 pub use frame::{FrameError, MAX_FRAME_BYTES, decode, encode, read_frame, write_frame};
 pub use table::{
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -57,6 +57,21 @@
 const AGAIN_AT_ONCE: Duration = Duration::from_millis(50);
 
 impl Refusal {
+    /// All kinds, in the order of their numbers.
+    pub const ALL: [Refusal; 11] = [
+        Refusal::Malformed,
+        Refusal::HeadTooLarge,
+        Refusal::BodyTooLarge,
+        Refusal::Slow,
+        Refusal::NoRoute,
+        Refusal::NotReady,
+        Refusal::Unavailable,
+        Refusal::Full,
+        Refusal::Unserved,
+        Refusal::Deadline,
+        Refusal::Broken,
+    ];
+
     /// The answer for this kind.
     pub fn line(self) -> Line {
         let line = |status, reason| Line { status, reason, retry_after: None, closes: false };
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -2,10 +2,12 @@
 
 use crate::clients::Slot;
 use crate::intake::{BodyRoom, Intake, Stop};
+use crate::outcome::RequestOutcome;
 use crate::reply::{Ended, Reply};
 use crate::request::ClientRequest;
 use crate::service;
 use crate::state::Shared;
+use crate::trace::RequestTrace;
 use crate::wire::{self, Fill};
 use bytes::BytesMut;
 use std::rc::Rc;
@@ -33,7 +35,9 @@
             Ok(Ended::Close) => return linger(intake.into_reader(), &mut write).await,
             Err(Stop::Gone) => return,
             Err(Stop::Refused(refusal)) => {
-                Reply::new(&mut write, shared, true, false).refuse(refusal, None).await;
+                shared.figures.request_ended(RequestOutcome::Refused(refusal));
+                spdlog::debug!("request outcome={}", refusal.name());
+                Reply::closing(&mut write, shared).refuse(refusal).await;
                 return linger(intake.into_reader(), &mut write).await;
             }
         }
@@ -53,18 +57,18 @@
     let body = intake.read_body(write, &head, &limits, by, &mut room).await?;
     let has_body = body.is_some();
     let request = ClientRequest { head, body: body.unwrap_or_default(), has_body, arrived };
-    let (wants_close, is_http10) = (request.head.wants_close(), request.head.is_http10);
-    let mut reply = Reply::new(write, shared, wants_close, is_http10);
+    let trace = RequestTrace::default();
+    let mut reply = Reply::new(write, shared, &request.head, &trace);
     tokio::select! {
         biased;
-        ended = service::serve(shared, &request, &mut reply) => {
-            if ended == Ended::Broken && is_http10 {
+        ended = service::serve(shared, &request, &mut reply, &trace) => {
+            if ended == Ended::Broken && request.head.is_http10 {
                 intake.cut();
             }
             Ok(ended)
         }
         () = intake.left() => {
-            spdlog::debug!("request={} outcome=left", request.id());
+            trace.finish(shared, &request, RequestOutcome::Left);
             Err(Stop::Gone)
         }
     }
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -1,5 +1,6 @@
 //! The clients' connections that are open, and a bound on them.
 
+use lugwharf_invariants::{Invariant, check};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -62,6 +63,8 @@
         slot.idle_since.set(Some(Instant::now()));
         self.next.set(number + 1);
         self.slots.borrow_mut().insert(number, slot.clone());
+        let open = self.count();
+        check(Invariant::ClientConnectionsBounded, open <= self.most, || format!("{open} of {}", self.most));
         (number, slot)
     }
 
@@ -71,6 +74,11 @@
         self.ended.notify_one();
     }
 
+    /// Whether one more may be let in.
+    pub fn has_room(&self) -> bool {
+        self.count() < self.most
+    }
+
     /// The connection that has rested for longest gives way.
     pub fn evict(&self) -> bool {
         let slots = self.slots.borrow();
@@ -85,7 +93,7 @@
 
     /// Waits until one more may be let in.
     pub async fn make_room(&self) {
-        while self.count() >= self.most {
+        while !self.has_room() {
             if self.evict() {
                 tokio::task::yield_now().await;
             } else {
--- /dev/null
+++ b/crates/proxy/src/figures.rs
@@ -0,0 +1,120 @@
+//! What this process counts, and the text in which it tells so.
+//!
+//! Counts are plain cells of the one thread; the text is made when it is asked for. `docs/OPERATING.md` lists the names.
+
+use crate::clients::Clients;
+use crate::outcome::{RequestOutcome, SendOutcome};
+use crate::state::Shared;
+use lugwharf_telemetry::{Exposition, LineLimit, MetricsEndpoint, Permit};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What all names begin with.
+const PREFIX: &str = "lugwharf_proxy";
+/// One line in this time, for each way in which requests fail.
+const LINE_EVERY: Duration = Duration::from_secs(1);
+/// Lines at once, for each way in which requests fail.
+const LINE_BURST: u32 = 5;
+
+/// Counts since the start of the process.
+pub struct Figures {
+    requests: [Cell<u64>; RequestOutcome::COUNT],
+    sends: [Cell<u64>; SendOutcome::NAMES.len()],
+    /// Sends beyond the first that the retry budget did not allow.
+    pub budget_denials: Cell<u64>,
+    /// Handles that were freed since nobody took them.
+    pub handles_freed: Cell<u64>,
+    /// Handles that could not be freed and lapse by themselves.
+    pub handles_left: Cell<u64>,
+    /// Lines about failed requests that were left out.
+    lines_omitted: Cell<u64>,
+    limits: RefCell<[LineLimit; RequestOutcome::COUNT]>,
+}
+
+impl Default for Figures {
+    fn default() -> Figures {
+        Figures {
+            requests: std::array::from_fn(|_| Cell::new(0)),
+            sends: std::array::from_fn(|_| Cell::new(0)),
+            budget_denials: Cell::new(0),
+            handles_freed: Cell::new(0),
+            handles_left: Cell::new(0),
+            lines_omitted: Cell::new(0),
+            limits: RefCell::new(std::array::from_fn(|_| LineLimit::new(LINE_EVERY, LINE_BURST))),
+        }
+    }
+}
+
+/// Adds one.
+pub fn increment(count: &Cell<u64>) {
+    count.set(count.get() + 1);
+}
+
+impl Figures {
+    /// A request has ended.
+    pub fn request_ended(&self, outcome: RequestOutcome) {
+        increment(&self.requests[outcome.index()]);
+    }
+
+    /// A send has ended.
+    pub fn send_ended(&self, outcome: SendOutcome) {
+        increment(&self.sends[outcome.index()]);
+    }
+
+    /// Asks whether a line about a request that ended so may be written at `now`.
+    pub fn may_write_line(&self, now: Duration, outcome: RequestOutcome) -> Option<Permit> {
+        let permit = self.limits.borrow_mut()[outcome.index()].ask(now);
+        if permit.is_none() {
+            increment(&self.lines_omitted);
+        }
+        permit
+    }
+
+    fn write(&self, text: &mut Exposition) {
+        let requests = RequestOutcome::all().map(|outcome| (outcome.name(), &self.requests[outcome.index()]));
+        text.outcomes("requests", "Requests by their end", requests.map(|(name, count)| (name, count.get())));
+        let sends = SendOutcome::NAMES.into_iter().zip(self.sends.iter().map(Cell::get));
+        text.outcomes("sends", "Sends to servers by their end", sends);
+        let counters = [
+            ("budget_denials", "Sends that the retry budget did not allow", &self.budget_denials),
+            ("handles_freed", "Handles freed since nobody took them", &self.handles_freed),
+            ("handles_left", "Handles that could not be freed", &self.handles_left),
+            ("request_lines_omitted", "Lines about failed requests left out", &self.lines_omitted),
+        ];
+        for (name, help, count) in counters {
+            text.counter(name, help, count.get());
+        }
+    }
+}
+
+/// Answers requests for the figures for as long as the process runs.
+pub async fn serve(shared: Rc<Shared>, clients: Rc<Clients>, endpoint: MetricsEndpoint) {
+    let MetricsEndpoint { mut requests } = endpoint;
+    while let Some(reply) = requests.recv().await {
+        // Whoever asked may have gone.
+        let _ = reply.send(render(&shared, &clients));
+    }
+}
+
+/// The text as things stand.
+pub fn render(shared: &Shared, clients: &Clients) -> String {
+    let mut text = Exposition::new(PREFIX);
+    shared.figures.write(&mut text);
+    let have = shared.have();
+    let gauges = [
+        ("uptime_seconds", "Time since the start of the process", shared.now().as_secs()),
+        ("clients", "Connections of clients that are open", clients.count() as u64),
+        ("body_bytes", "Bytes of request bodies that are held", shared.body_bytes()),
+        ("config_version", "Configuration in force; 0 for none", have.config),
+        ("list_epoch", "Epoch of the list of servers", have.servers.epoch),
+        ("list_sequence", "Sequence of the list of servers in its epoch", have.servers.sequence),
+        ("live_proxies", "Live proxies of the fleet as last told", have.live_proxies.into()),
+        ("ready", "Whether requests can be served and are wanted", shared.is_ready().into()),
+        ("draining", "Whether the process is shutting down", shared.is_draining().into()),
+    ];
+    for (name, help, value) in gauges {
+        text.gauge(name, help, value);
+    }
+    text.finish()
+}
--- a/crates/proxy/src/generate.rs
+++ b/crates/proxy/src/generate.rs
@@ -9,6 +9,7 @@
 use crate::job::{Ask, Job, Sent};
 use crate::upstream::{Answered, Extra};
 use crate::verdict::{Verdict, judge};
+use lugwharf_invariants::{Invariant, check};
 use lugwharf_routing::{Choice, Failure, NoChoice, Part, ServerKey};
 use serde::Deserialize;
 use std::time::Duration;
@@ -173,6 +174,7 @@
     let part = if handle.is_some() { Part::Decode } else { Part::Whole };
     let extra = Extra { kv_from: handle.as_ref().map(Handle::source), ..extra.clone() };
     let mut rejections = 0;
+    let runs_before = job.attempts.runs();
     loop {
         if !job.attempts.may_run() || !job.may_try() {
             return Err(job.give_up(Refusal::Full));
@@ -190,6 +192,8 @@
         if !job.may_arrive() {
             return Err(job.give_up(Refusal::Full));
         }
+        let is_unused = handle.is_none() || job.attempts.runs() == runs_before;
+        check(Invariant::HandleUsedOnce, is_unused, || format!("request {}", job.request.id()));
         let sent = job.send(&choice, part, &extra, job.by).await;
         job.tried.push(choice.key);
         let has_arrived = !matches!(sent, Sent::Unsent | Sent::Late);
--- a/crates/proxy/src/handle.rs
+++ b/crates/proxy/src/handle.rs
@@ -1,6 +1,7 @@
 //! The memory of a prompt that a prefill server holds for one request. It is never given to another request, and freed at once
 //! if nobody takes it.
 
+use crate::figures::increment;
 use crate::state::Shared;
 use crate::upstream::{Connection, MOST_SURPLUS, read_over};
 use crate::wire::field;
@@ -50,7 +51,10 @@
         let (shared, server, id) = (self.shared.clone(), self.server.clone(), std::mem::take(&mut self.id));
         tokio::task::spawn_local(async move {
             let freed = timeout(FREE_WITHIN, free(&shared, &server, &id)).await;
-            let outcome = if freed.is_ok_and(|freed| freed == Some(true)) { "freed" } else { "left" };
+            let is_freed = freed.is_ok_and(|freed| freed == Some(true));
+            let figures = &shared.figures;
+            increment(if is_freed { &figures.handles_freed } else { &figures.handles_left });
+            let outcome = if is_freed { "freed" } else { "left" };
             spdlog::debug!("server={} handle={id} outcome={outcome}", server.id);
         });
     }
--- a/crates/proxy/src/intake.rs
+++ b/crates/proxy/src/intake.rs
@@ -54,7 +54,7 @@
 
 impl Drop for BodyRoom<'_> {
     fn drop(&mut self) {
-        self.shared.body_room.set(self.shared.body_room.get() + self.taken);
+        self.shared.give_back(self.taken);
     }
 }
 
--- a/crates/proxy/src/job.rs
+++ b/crates/proxy/src/job.rs
@@ -2,12 +2,16 @@
 
 use crate::answer::Refusal;
 use crate::flight::Flight;
+use crate::outcome::SendOutcome;
 use crate::request::ClientRequest;
 use crate::routes::Routes;
 use crate::state::Shared;
+use crate::trace::{RequestTrace, SendTrace};
 use crate::upstream::{Answered, Extra, Fault, Outbound, Terms, exchange};
+use crate::verdict::judge;
 use crate::wire::RequestHead;
 use lugwharf_config::{Route, RouteKind};
+use lugwharf_invariants::{Invariant, check};
 use lugwharf_routing::{Attempts, Choice, Failure, NoChoice, Part, Prompt, Query, ServerKey, by_weight};
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,6 +33,8 @@
     pub shared: &'a Rc<Shared>,
     /// The request.
     pub request: &'a ClientRequest,
+    /// What explains its end.
+    pub trace: &'a RequestTrace,
     /// Its route.
     pub route: &'a Route,
     /// The service that it goes to.
@@ -82,7 +88,7 @@
 impl<'a> Job<'a> {
     /// Prepares a request; what can't be served is refused.
     pub fn new(
-        shared: &'a Rc<Shared>, request: &'a ClientRequest, routes: &'a Routes,
+        shared: &'a Rc<Shared>, request: &'a ClientRequest, routes: &'a Rc<Routes>, trace: &'a RequestTrace,
     ) -> Result<Job<'a>, Refusal> {
         let route = find(&request.head, routes)?;
         let service = target(shared, route).ok_or(Refusal::Unavailable)?;
@@ -91,12 +97,14 @@
         let patience = request.patience().unwrap_or(timeout).min(timeout);
         let idempotent = route.may_repeat() || route.route_kind == RouteKind::Streaming && route.resumable;
         let now = shared.now();
+        trace.begin(shared, routes, service, objective(route), patience);
         let mut balancer = shared.balancer.borrow_mut();
         balancer.requested(now, service);
         let rejections = balancer.tuning().rejections;
         Ok(Job {
             shared,
             request,
+            trace,
             route,
             service,
             by: request.arrived + patience.saturating_sub(RETURN_MARGIN),
@@ -121,11 +129,7 @@
 
     /// The time within which an answer earns its full worth.
     pub fn objective(&self) -> Duration {
-        if self.route.slo_ms > 0.0 {
-            Duration::from_secs_f64((self.route.slo_ms / 1e3).min(86_400.0))
-        } else {
-            DEFAULT_OBJECTIVE
-        }
+        objective(self.route)
     }
 
     /// The time left.
@@ -164,6 +168,9 @@
             return true;
         }
         self.paid = self.shared.balancer.borrow_mut().try_spend(self.shared.now(), self.service);
+        if !self.paid {
+            self.trace.budget_denied(self.shared);
+        }
         self.paid
     }
 
@@ -174,12 +181,36 @@
 
     /// Sends it to a server, and counts.
     pub async fn send(&mut self, choice: &Choice, part: Part, extra: &Extra, by: Instant) -> Sent {
+        let may_be_sent = self.idempotent || self.attempts.is_unrun();
+        check(Invariant::UnrepeatableSentOnce, may_be_sent, || {
+            format!("request {} to {} as {part:?}", self.request.id(), choice.id)
+        });
         let mut flight = Flight::new(self.shared, choice, part, by);
         let objective = self.objective();
         let terms =
             Terms { part, by, objective, idempotent: self.idempotent, max_connections: self.max_connections };
+        let (begun, left, carriers) =
+            (self.request.arrived.elapsed(), self.left(), self.outbound.carriers.len());
         let result = exchange(self.shared, choice, &mut self.outbound, extra, terms).await;
-        self.log(choice, part, &result);
+        let outcome = match &result {
+            Ok(answered) => {
+                let (status, verdict) = (answered.head.status, judge(&answered.head));
+                SendOutcome::Answered { status, verdict }
+            }
+            Err(fault) => SendOutcome::Failed(*fault),
+        };
+        self.shared.figures.send_ended(outcome);
+        self.trace.sent(SendTrace {
+            server: choice.id.clone(),
+            part,
+            connection: self.outbound.carriers.get(carriers..).and_then(<[_]>::last).map(|id| id.0),
+            begun,
+            took: self.request.arrived.elapsed().saturating_sub(begun),
+            left,
+            paid: self.paid,
+            outcome,
+            body: None,
+        });
         match result {
             Ok(answered) => {
                 self.arrived();
@@ -232,6 +263,8 @@
     }
 
     fn arrived(&mut self) {
+        let is_paid = self.paid || !self.attempts.needs_budget();
+        check(Invariant::RetriesPaid, is_paid, || format!("request {}", self.request.id()));
         self.paid_last = std::mem::replace(&mut self.paid, false);
         self.attempts.arrived();
     }
@@ -242,21 +275,14 @@
         self.paid = self.attempts.has_free_prefill() && self.paid_last;
         self.attempts.prefilled();
     }
+}
 
-    fn log(&self, choice: &Choice, part: Part, result: &Result<Answered, Fault>) {
-        let ms = self.request.arrived.elapsed().as_millis();
-        let (id, server) = (self.request.id(), &choice.id);
-        match result {
-            Ok(answered) => {
-                spdlog::debug!(
-                    "request={id} server={server} part={part:?} outcome={} ms={ms}",
-                    answered.head.status
-                );
-            }
-            Err(fault) => {
-                spdlog::debug!("request={id} server={server} part={part:?} outcome={fault:?} ms={ms}")
-            }
-        }
+/// The time within which an answer on this route earns its full worth.
+fn objective(route: &Route) -> Duration {
+    if route.slo_ms > 0.0 {
+        Duration::from_secs_f64((route.slo_ms / 1e3).min(86_400.0))
+    } else {
+        DEFAULT_OBJECTIVE
     }
 }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `upstream` | connections to servers, one exchange |
 //! | `wire` | HTTP/1.1 |
 //! | `state`, `routes`, `feed` | the tables and their feed by the agent |
+//! | `outcome`, `trace`, `figures` | how requests end, and what tells of it |
 //! | `ready`, `shutdown` | readiness, and the end |
 //!
 //! All of it runs on one thread. Decisions are made by `lugwharf_routing`.
@@ -24,6 +25,7 @@
 mod feed;
 #[cfg(test)]
 mod feed_tests;
+mod figures;
 mod flight;
 mod forward;
 mod generate;
@@ -31,6 +33,7 @@
 mod intake;
 mod job;
 mod listener;
+mod outcome;
 mod ready;
 mod relay;
 mod reply;
@@ -39,6 +42,9 @@
 mod service;
 mod shutdown;
 mod state;
+mod trace;
+#[cfg(test)]
+mod trace_tests;
 mod upstream;
 mod verdict;
 #[cfg(test)]
@@ -49,8 +55,10 @@
 use eyre::{OptionExt, WrapErr};
 use lugwharf_routing::Tuning;
 use lugwharf_settings::Settings;
+use lugwharf_telemetry::MetricsEndpoint;
 use state::Shared;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -71,6 +79,8 @@
     pub settings_path: Option<PathBuf>,
     /// The least level that is logged; the logger's own if absent.
     pub log_level: Option<spdlog::LevelFilter>,
+    /// The port of `GET /metrics`; not served if absent.
+    pub metrics_port: Option<u16>,
 }
 
 /// Runs the data plane until SIGTERM, on a current-thread runtime.
@@ -107,6 +117,11 @@
     local.spawn_local(feed::follow(shared.clone(), settings.feed_address()));
     local.spawn_local(ready::listen(shared.clone(), ready));
     local.spawn_local(sweep(shared.clone()));
+    if let Some(port) = options.metrics_port
+        && let Some(endpoint) = MetricsEndpoint::listen(SocketAddr::new(settings.ip, port)).await
+    {
+        local.spawn_local(figures::serve(shared.clone(), clients.clone(), endpoint));
+    }
     local.spawn_local(follow_settings(shared.clone(), hang_up, path));
     let serving = async move {
         tokio::select! {
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -35,7 +35,9 @@
 /// Serves whoever the system has accepted by now, also those that the runtime has not heard of.
 pub fn admit_waiting(shared: &Rc<Shared>, clients: &Rc<Clients>, listener: TcpListener) {
     let Ok(listener) = listener.into_std() else { return };
-    while let Ok((stream, _)) = listener.accept() {
+    while clients.has_room()
+        && let Ok((stream, _)) = listener.accept()
+    {
         if stream.set_nonblocking(true).is_ok()
             && let Ok(stream) = TcpStream::from_std(stream)
         {
@@ -46,6 +48,7 @@
 
 fn admit(shared: &Rc<Shared>, clients: &Rc<Clients>, stream: TcpStream) {
     drop(stream.set_nodelay(true));
+    shared.note_admitted();
     let (number, slot) = clients.add();
     let (shared, clients) = (shared.clone(), clients.clone());
     tokio::task::spawn_local(async move {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -3,6 +3,7 @@
 use crate::events::Events;
 use crate::forward::Taken;
 use crate::job::Job;
+use crate::outcome::BodyOutcome;
 use crate::reply::{BodyKind, Ended, Reply};
 use crate::upstream::Answered;
 use crate::wire::{Decoded, Framing, ResponseHead};
@@ -88,10 +89,12 @@
                 return finish_whole(job, reply, taken, kind, &body).await;
             }
             Ok(Err(_)) => {
+                job.trace.body_ended(BodyOutcome::Broken);
                 taken.flight.failed(Failure::Broken);
                 return Relayed::Unbegun;
             }
             Err(_) => {
+                job.trace.body_ended(BodyOutcome::Timeout);
                 taken.flight.failed(Failure::Timeout);
                 return Relayed::Unbegun;
             }
@@ -99,6 +102,7 @@
         if body.len() as u64 > WHOLE_BODY {
             reply.begin(&taken.answered.head, BodyKind::Chunked);
             if reply.piece(BodyKind::Chunked, &body, job.by).await.is_err() {
+                job.trace.body_ended(BodyOutcome::Unread);
                 return Relayed::Ended(Ended::Broken);
             }
             return rest(job, reply, taken, BodyKind::Chunked).await;
@@ -129,6 +133,7 @@
         match timeout_at(job.by, read).await {
             Ok(Ok(Some(data))) => {
                 if reply.piece(kind, &data, job.by).await.is_err() {
+                    job.trace.body_ended(BodyOutcome::Unread);
                     return Relayed::Ended(Ended::Broken);
                 }
             }
@@ -141,10 +146,14 @@
                 return Relayed::Ended(ended);
             }
             Ok(Err(_)) => {
+                job.trace.body_ended(BodyOutcome::Broken);
                 taken.flight.failed(Failure::Broken);
                 return Relayed::Ended(Ended::Broken);
             }
-            Err(_) => return Relayed::Ended(Ended::Broken),
+            Err(_) => {
+                job.trace.body_ended(BodyOutcome::Timeout);
+                return Relayed::Ended(Ended::Broken);
+            }
         }
     }
 }
@@ -162,28 +171,38 @@
             taken.flight.answered(taken.answered.sent.elapsed());
         }
         if has_any && reply.piece(BodyKind::Chunked, events.whole(), job.by).await.is_err() {
+            job.trace.body_ended(BodyOutcome::Unread);
             return StreamEnd::Over;
         }
         events.passed();
         match decoded {
             Pump::End => return StreamEnd::Complete,
             Pump::Cut => {
+                job.trace.body_ended(BodyOutcome::Broken);
                 taken.flight.failed(Failure::Broken);
                 return StreamEnd::Cut;
             }
-            Pump::Invalid => return StreamEnd::Over,
+            Pump::Invalid => {
+                job.trace.body_ended(BodyOutcome::Invalid);
+                return StreamEnd::Over;
+            }
             Pump::More => {}
         }
         if reply.flush(job.by).await.is_err() {
+            job.trace.body_ended(BodyOutcome::Unread);
             return StreamEnd::Over;
         }
         match timeout_at(job.by, taken.answered.fill()).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => {
+                job.trace.body_ended(BodyOutcome::Broken);
                 taken.flight.failed(Failure::Broken);
                 return StreamEnd::Cut;
             }
-            Err(_) => return StreamEnd::Over,
+            Err(_) => {
+                job.trace.body_ended(BodyOutcome::Timeout);
+                return StreamEnd::Over;
+            }
         }
     }
 }
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -2,7 +2,9 @@
 
 use crate::answer::Refusal;
 use crate::state::Shared;
-use crate::wire::{ResponseHead, chunk, field, is_hop_by_hop, last_chunk, length_field, number};
+use crate::trace::RequestTrace;
+use crate::wire::{RequestHead, ResponseHead, chunk, field, is_hop_by_hop, last_chunk, length_field, number};
+use lugwharf_invariants::{Invariant, check};
 use std::io;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -42,15 +44,60 @@
     shared: &'a Shared,
     wants_close: bool,
     is_http10: bool,
+    /// The id of the request, which each answer of a server bears.
+    request_id: Option<&'a [u8]>,
     /// Whether the head has gone out.
     pub has_begun: bool,
+    /// Heads that were written.
+    heads: u32,
+    /// Told the status of the answer.
+    trace: Option<&'a RequestTrace>,
     scratch: Vec<u8>,
 }
 
 impl<'a, 'b> Reply<'a, 'b> {
     /// For one request.
-    pub fn new(write: &'a mut WriteHalf<'b>, shared: &'a Shared, wants_close: bool, is_http10: bool) -> Self {
-        Reply { write, shared, wants_close, is_http10, has_begun: false, scratch: Vec::new() }
+    pub fn new(
+        write: &'a mut WriteHalf<'b>, shared: &'a Shared, head: &'a RequestHead, trace: &'a RequestTrace,
+    ) -> Self {
+        Reply {
+            wants_close: head.wants_close(),
+            is_http10: head.is_http10,
+            request_id: head.headers.get("request-id"),
+            trace: Some(trace),
+            ..Reply::closing(write, shared)
+        }
+    }
+
+    /// For bytes that make no request: the connection closes behind the answer.
+    pub fn closing(write: &'a mut WriteHalf<'b>, shared: &'a Shared) -> Self {
+        Reply {
+            write,
+            shared,
+            wants_close: true,
+            is_http10: false,
+            request_id: None,
+            has_begun: false,
+            heads: 0,
+            trace: None,
+            scratch: Vec::new(),
+        }
+    }
+
+    /// Counts a head: a request gets one.
+    fn note_head(&mut self, status: u16) {
+        if let Some(trace) = self.trace {
+            trace.answered(status);
+        }
+        self.heads += 1;
+        let heads = self.heads;
+        check(Invariant::OneFinalAnswer, heads == 1, || {
+            format!("{heads} heads to {:?}", self.request_text())
+        });
+    }
+
+    fn request_text(&self) -> String {
+        String::from_utf8_lossy(self.request_id.unwrap_or(b"-")).into_owned()
     }
 
     fn closes(&self) -> bool {
@@ -62,14 +109,15 @@
     }
 
     /// Answers by itself.
-    pub async fn refuse(&mut self, refusal: Refusal, request_id: Option<&[u8]>) -> Ended {
+    pub async fn refuse(&mut self, refusal: Refusal) -> Ended {
         if self.has_begun {
             return Ended::Broken;
         }
         self.wants_close |= refusal.line().closes;
         let (close, jitter) = (self.closes(), self.shared.lot());
         let mut out = std::mem::take(&mut self.scratch);
-        refusal.write(&mut out, request_id, close, jitter);
+        self.note_head(refusal.line().status);
+        refusal.write(&mut out, self.request_id, close, jitter);
         let written = self.send(&out, Instant::now() + SHORT_WRITE).await;
         if written.is_ok() { self.ended() } else { Ended::Broken }
     }
@@ -137,6 +185,9 @@
         if kind == BodyKind::Chunked && self.is_http10 {
             self.wants_close = true;
         }
+        self.note_head(head.status);
+        let is_own = self.request_id.is_none_or(|id| head.headers.get("request-id") == Some(id));
+        check(Invariant::AnswerOfItsRequest, is_own, || format!("an answer to {:?}", self.request_text()));
         out.extend_from_slice(b"HTTP/1.1 ");
         number(out, head.status.into());
         out.extend_from_slice(b" ");
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -5,10 +5,12 @@
 use crate::forward::{self, Taken};
 use crate::generate;
 use crate::job::{self, Job};
+use crate::outcome::RequestOutcome;
 use crate::relay::{self, Relayed, StreamEnd};
 use crate::reply::{BodyKind, Ended, Reply};
 use crate::request::ClientRequest;
 use crate::state::Shared;
+use crate::trace::RequestTrace;
 use crate::upstream::Extra;
 use crate::verdict::Verdict;
 use crate::wire::RequestHead;
@@ -22,32 +24,42 @@
     job::find(head, &routes).ok().map(job::time_limit)
 }
 
-/// Serves a request.
-pub async fn serve(shared: &Rc<Shared>, request: &ClientRequest, reply: &mut Reply<'_, '_>) -> Ended {
-    let Some(routes) = shared.routes() else { return refuse(request, reply, Refusal::NotReady).await };
-    let mut job = match Job::new(shared, request, &routes) {
-        Ok(job) => job,
-        Err(refusal) => return refuse(request, reply, refusal).await,
+/// Serves a request, and tells its trace how it ended.
+pub async fn serve(
+    shared: &Rc<Shared>, request: &ClientRequest, reply: &mut Reply<'_, '_>, trace: &RequestTrace,
+) -> Ended {
+    let (ended, outcome) = match answer(shared, request, reply, trace).await {
+        Ok(ended) => (ended, answered(ended, trace)),
+        Err(refusal) => (reply.refuse(refusal).await, RequestOutcome::Refused(refusal)),
     };
+    trace.finish(shared, request, outcome);
+    ended
+}
+
+fn answered(ended: Ended, trace: &RequestTrace) -> RequestOutcome {
+    let is_success = trace.status().is_some_and(|status| status < 400);
+    match ended {
+        Ended::Broken => RequestOutcome::Cut,
+        Ended::Whole | Ended::Close if is_success => RequestOutcome::Success,
+        Ended::Whole | Ended::Close => RequestOutcome::ServerFailure,
+    }
+}
+
+/// Brings the client an answer of a server.
+async fn answer(
+    shared: &Rc<Shared>, request: &ClientRequest, reply: &mut Reply<'_, '_>, trace: &RequestTrace,
+) -> Result<Ended, Refusal> {
+    let routes = shared.routes().ok_or(Refusal::NotReady)?;
+    let mut job = Job::new(shared, request, &routes, trace)?;
     if job.left().is_zero() {
-        return refuse(request, reply, Refusal::Unserved).await;
+        return Err(Refusal::Unserved);
     }
-    let ended = match job.route.route_kind {
+    match job.route.route_kind {
         RouteKind::Streaming => stream(&mut job, reply).await,
         RouteKind::Safe | RouteKind::Unsafe => plain(&mut job, reply).await,
-    };
-    match ended {
-        Ok(ended) => ended,
-        Err(refusal) => refuse(request, reply, refusal).await,
     }
 }
 
-async fn refuse(request: &ClientRequest, reply: &mut Reply<'_, '_>, refusal: Refusal) -> Ended {
-    let ms = request.arrived.elapsed().as_millis();
-    spdlog::debug!("request={} outcome={} ms={ms}", request.id(), refusal.name());
-    reply.refuse(refusal, request.head.headers.get("request-id")).await
-}
-
 async fn plain(job: &mut Job<'_>, reply: &mut Reply<'_, '_>) -> Result<Ended, Refusal> {
     let extra = job.extra();
     loop {
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -26,6 +26,7 @@
     let noticed = (begun + NOTICED).min(end);
     let _ = timeout_at(noticed, listen(shared, clients, &listener)).await;
     admit_waiting(shared, clients, listener);
+    shared.close();
     clients.close_idle(RESTED);
     while clients.count() > 0 && Instant::now() < end {
         let next = (Instant::now() + LOOK).min(end);
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -3,9 +3,11 @@
 //! Everything runs on one thread. The feed's task is the only writer of the tables; request tasks take a snapshot of the
 //! configuration and borrow the balancer for the length of one decision.
 
+use crate::figures::Figures;
 use crate::routes::Routes;
 use crate::upstream::Pool;
 use lugwharf_config::{Configuration, Limits};
+use lugwharf_invariants::{Invariant, check};
 use lugwharf_protocol::{Update, VersionVector};
 use lugwharf_routing::{Balancer, BudgetTerms, Tuning};
 use lugwharf_settings::{Bounds, Settings};
@@ -27,9 +29,14 @@
     pub pool: Pool,
     /// Bytes of request bodies that may still be taken in.
     pub body_room: Cell<u64>,
+    /// What is counted.
+    pub figures: Figures,
     routes: RefCell<Option<Rc<Routes>>>,
     limits: RefCell<Limits>,
     draining: Cell<bool>,
+    /// Whether nobody more is let in.
+    closed: Cell<bool>,
+    body_most: u64,
     started: Instant,
     jitter: RefCell<fastrand::Rng>,
 }
@@ -38,14 +45,18 @@
     /// Before anything is known.
     pub fn new(settings: &Settings, tuning: Tuning, seed: u64) -> Rc<Shared> {
         let balancer = Balancer::new(tuning, terms(&settings.bounds), seed);
+        let body_most = settings.limits.memory_mb.max(16) * 1024 * 1024 / BODIES_SHARE;
         Rc::new(Shared {
             zone: settings.zone.clone(),
             balancer: RefCell::new(balancer),
             pool: Pool::default(),
-            body_room: Cell::new(settings.limits.memory_mb.max(16) * 1024 * 1024 / BODIES_SHARE),
+            body_room: Cell::new(body_most),
+            body_most,
+            figures: Figures::default(),
             routes: RefCell::default(),
             limits: RefCell::default(),
             draining: Cell::new(false),
+            closed: Cell::new(false),
             started: Instant::now(),
             jitter: RefCell::new(fastrand::Rng::with_seed(seed ^ u64::MAX)),
         })
@@ -82,6 +93,28 @@
         self.draining.set(true);
     }
 
+    /// From now on nobody is let in.
+    pub fn close(&self) {
+        self.closed.set(true);
+    }
+
+    /// Somebody was let in.
+    pub fn note_admitted(&self) {
+        check(Invariant::NothingNewAfterDrain, !self.closed.get(), || "a connection was let in".to_owned());
+    }
+
+    /// Bytes of request bodies that are held.
+    pub fn body_bytes(&self) -> u64 {
+        self.body_most.saturating_sub(self.body_room.get())
+    }
+
+    /// Gives bytes of a request's body back.
+    pub fn give_back(&self, bytes: u64) {
+        let (room, most) = (self.body_room.get() + bytes, self.body_most);
+        check(Invariant::BodyBytesBounded, room <= most, || format!("room of {room} bytes of {most}"));
+        self.body_room.set(room);
+    }
+
     /// A random number from 0 to below 1.
     pub fn lot(&self) -> f64 {
         self.jitter.borrow_mut().f64()
@@ -124,6 +157,8 @@
     }
 
     fn enforce(&self, configuration: Configuration) {
+        let (before, version) = (self.have().config, configuration.version);
+        check(Invariant::ProxyVersionClimbs, version > before, || format!("{version} after {before}"));
         spdlog::info!("config version={} routes={}", configuration.version, configuration.routes.len());
         self.balancer.borrow_mut().retain_services(|name| configuration.service(name).is_some());
         *self.limits.borrow_mut() = configuration.limits.clone();
--- a/crates/proxy/tests/common/messages.rs
+++ b/crates/proxy/tests/common/messages.rs
@@ -48,5 +48,5 @@
 /// A whole stream of so many events.
 pub fn whole_stream(id: &str, events: u32) -> String {
     let events: String = (1..=events).map(|id| chunk(&event(id))).collect();
-    stream_head(id) + &events + LAST_CHUNK
+    stream_head(id) + events.as_str() + LAST_CHUNK
 }
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -53,14 +53,14 @@
         let (mut client, _prefill) = ask_and_read(world, "r1").await;
         let (mut server, _, first) = offer_decode(world).await;
         server.send(&stream_head("r1")).await;
-        server.send(&chunk(&(event(1) + &event(2) + "id: 3\nda"))).await;
+        server.send(&chunk(&(event(1) + event(2).as_str() + "id: 3\nda"))).await;
         server.reset();
         let (mut server, seen, second) = offer_decode(world).await;
         assert_ne!(first, second);
         assert_eq!(seen.header("last-event-id"), Some("2"));
         assert_eq!(seen.header("kv-from"), None, "a second reading would be a third attempt");
         server.send(&stream_head("r1").replace("stamp-r1", "other")).await;
-        server.send(&chunk(&(event(3) + &event(4)))).await;
+        server.send(&chunk(&(event(3) + event(4).as_str()))).await;
         server.send(LAST_CHUNK).await;
         let head = client.until("\r\n\r\n").await.expect("a head");
         assert!(head.contains("Server-Stamp: stamp-r1\r\n"), "{head}");
--- a/crates/proxy/tests/terms_headers.rs
+++ b/crates/proxy/tests/terms_headers.rs
@@ -48,7 +48,7 @@
         server.send(&stream_head("r1")).await;
         server.send(&chunk(&event(2))).await;
         server.send(LAST_CHUNK).await;
-        assert_eq!(client.message().await.expect("an answer").body, event(1) + &event(2));
+        assert_eq!(client.message().await.expect("an answer").body, event(1) + event(2).as_str());
     })
     .await;
 }
--- a/crates/proxy/tests/terms_prefill.rs
+++ b/crates/proxy/tests/terms_prefill.rs
@@ -27,7 +27,7 @@
         let (mut server, seen, _) = offer_decode(world).await;
         assert!(seen.header("kv-from").is_some());
         server.send(&whole_stream("r1", 2)).await;
-        assert_eq!(client.message().await.expect("an answer").body, event(1) + &event(2));
+        assert_eq!(client.message().await.expect("an answer").body, event(1) + event(2).as_str());
     })
     .await;
 }
--- a/crates/proxy/tests/terms_time.rs
+++ b/crates/proxy/tests/terms_time.rs
@@ -91,7 +91,7 @@
         world.list(&["b"]).await;
         let mut client = world.client().await;
         let first = request("r1", "", "body");
-        client.send(&if together { first + &next } else { first }).await;
+        client.send(&if together { first + next.as_str() } else { first }).await;
         let (mut server, _) = world.offer("a").await;
         if !together {
             client.send(&next).await;
@@ -244,7 +244,7 @@
         pass(TIMEOUT - Duration::from_millis(500)).await;
         server.send(&chunk(after)).await;
         server.send(LAST_CHUNK).await;
-        assert_eq!(client.message().await.expect("an answer").body, event(1) + &event(2));
+        assert_eq!(client.message().await.expect("an answer").body, event(1) + event(2).as_str());
     })
     .await;
 }
--- a/crates/routing/src/attempts.rs
+++ b/crates/routing/src/attempts.rs
@@ -4,6 +4,8 @@
 //! have run it are bounded by the route's `MaxAttempts`; sends that provably did not run are bounded by
 //! [`Tuning::rejections`](crate::Tuning::rejections). Every arrival beyond the first is paid from the retry budget.
 
+use lugwharf_invariants::{Invariant, check};
+
 /// The sends of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Attempts {
@@ -67,6 +69,12 @@
     /// It has run, or may have.
     pub fn ran(&mut self) {
         self.runs += 1;
+        check(Invariant::AttemptsBounded, self.runs <= self.most_runs, || format!("{self:?}"));
+    }
+
+    /// The servers that have run it, or may have.
+    pub fn runs(&self) -> u32 {
+        self.runs
     }
 
     /// Whether the next reading that is taken up is the first, and no arrival.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -115,6 +115,10 @@
     pub role: String,
     /// The address of the machine.
     pub ip: IpAddr,
+    /// The address that this process listens on and connects from in place of [`Settings::ip`], where other machines reach
+    /// it under an address that is not its own, as behind an address translation.
+    #[serde(default)]
+    pub bind: Option<IpAddr>,
     /// Its zone.
     #[serde(default)]
     pub zone: String,
@@ -179,6 +183,11 @@
         std::env::var_os(PATH_VARIABLE).map_or_else(|| PathBuf::from(DEFAULT_PATH), PathBuf::from)
     }
 
+    /// The address to listen on for internal traffic.
+    pub fn listen_ip(&self) -> IpAddr {
+        self.bind.unwrap_or(self.ip)
+    }
+
     /// The ports of the internal protocols.
     pub fn internal_ports(&self) -> InternalPorts {
         InternalPorts::of(self.port_range)
