--- a/crates/election/tests/votes.rs
+++ b/crates/election/tests/votes.rs
@@ -301,3 +301,40 @@
     bed.at(1_100, Event::StandDown { rest: ms(10) });
     assert!(!asks_within(&mut bed, 1_105, 3_020));
 }
+
+/// Two processes that stand at once stand under the same token, as both know the same highest one.
+#[test]
+fn a_candidate_that_lost_votes_for_the_winner_of_its_token() {
+    let mut bed = Bed::new(&[]);
+    let (now, round) = asked(&mut bed);
+    bed.hear(now, 1, MessageBody::Willing { round, highest: FencingToken::default() });
+    let stood = bed.at(now, Event::Stored { batch: BATCH });
+    let Some(MessageBody::Elect { round, token }) = answers(&stood).first().copied() else {
+        panic!("{stood:?}")
+    };
+    // The third process has won this token with the vote of the first.
+    for from in [1, 3] {
+        bed.hear(now + 1, from, MessageBody::Refuse { round, highest: token });
+    }
+    let asked = bed.hear(now + 250, 3, MessageBody::Renew { round: ROUND, token });
+    let [Action::Store { batch, .. }] = asked.as_slice() else { panic!("no vote for the holder: {asked:?}") };
+    let voted = bed.at(now + 251, Event::Stored { batch: *batch });
+    assert_eq!(answers(&voted), [MessageBody::Vote { round: ROUND, token }]);
+    assert_eq!(bed.elector.known_holder(), Some((address(3), token)));
+}
+
+#[test]
+fn a_voter_of_a_candidate_that_lost_votes_for_the_winner_of_the_same_token() {
+    let mut bed = Bed::new(&[]);
+    bed.grant(2_000);
+    // As long as its vote may count for the first process, it votes for nobody else.
+    let renew = MessageBody::Renew { round: ROUND, token: FIRST };
+    assert!(is_refused(&bed.hear(2_050, 3, renew)));
+    bed.hear(2_100, 1, MessageBody::Release { token: FIRST, held: false });
+    let asked = bed.hear(2_101, 3, renew);
+    let [Action::Store { batch, .. }] = asked.as_slice() else { panic!("no vote for the holder: {asked:?}") };
+    let voted = bed.at(2_102, Event::Stored { batch: *batch });
+    assert_eq!(answers(&voted), [MessageBody::Vote { round: ROUND, token: FIRST }]);
+    // Nor does the one that gave it up get it back.
+    assert!(is_refused(&bed.hear(2_103, 1, renew)));
+}
