--- a/crates/chain/tests/simulation/cut_cases.rs
+++ b/crates/chain/tests/simulation/cut_cases.rs
@@ -3,7 +3,7 @@
 use crate::fault::Fault;
 use crate::network::CutMode;
 use crate::operator::Wish;
-use crate::world::{Scenario, World};
+use crate::world::{Scenario, World, address};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -25,12 +25,15 @@
 
 fn links(machines: usize, cut: usize, direction: Direction) -> Vec<(usize, usize)> {
     let others = (0..machines).filter(|other| *other != cut);
-    let pair = |other| match direction {
+    others.flat_map(|other| pair(cut, other, direction)).collect()
+}
+
+fn pair(cut: usize, other: usize, direction: Direction) -> Vec<(usize, usize)> {
+    match direction {
         Direction::Both => vec![(cut, other), (other, cut)],
         Direction::From => vec![(cut, other)],
         Direction::To => vec![(other, cut)],
-    };
-    others.flat_map(pair).collect()
+    }
 }
 
 /// The operator at the cut machine tries changes on what was current, on what is current, and reads.
@@ -110,3 +113,36 @@
         world.must_take_change().unwrap();
     }
 }
+
+/// The links of one machine to the head and to the tail are cut, while all others reach these and it reaches the others.
+#[rstest]
+fn a_machine_cut_off_from_the_ends_of_the_chain_answers_through_others(
+    #[values(4, 5)] machines: usize,
+    #[values(Direction::Both, Direction::From, Direction::To)] direction: Direction,
+    #[values(CutMode::Lose, CutMode::Hold)] mode: CutMode,
+) {
+    for seed in 0..5 {
+        let mut world = World::new(seed, Scenario { machines, ..Scenario::small() });
+        world.begin_day().unwrap();
+        world.must_take_change().unwrap();
+        let chain = world.status(0).chain;
+        let outside = (0..machines).find(|node| !chain.contains(&address(*node))).expect("a learner");
+        let ends = [chain.first(), chain.last()].map(|end| *end.expect("a chain"));
+        let is_end = |node: &usize| ends.contains(&address(*node));
+        let cut: Vec<(usize, usize)> =
+            (0..machines).filter(is_end).flat_map(|end| pair(outside, end, direction)).collect();
+        world.inflict(Fault::Cut { links: cut, mode });
+        world.run_for(OUT_OF_TOUCH_WITHIN).unwrap();
+        for _ in 0..3 {
+            let read = Wish::Read { at_least: world.oracle.newest_acked() };
+            for wish in [world.proper_change(), read] {
+                let end = world.now + 4 * SECOND;
+                world.begin_at(1, wish, end, &[outside]);
+                while world.operators[1].call.is_some() && world.now < end {
+                    world.run_for(Duration::from_millis(50)).unwrap();
+                }
+                assert!(world.operators[1].call.is_none(), "seed {seed}: no answer at machine {outside}");
+            }
+        }
+    }
+}
