Pass operators' calls on through a process that reaches the end of the chain

Cause: a process passed a call to the head or the tail alone (Replica::pass). Where only a third process reaches that end, each call got 503 for as long as the cut lasted, although a majority was connected. The same class as the chains that others can't reach: a message whose one path is taken for granted. Ruled out: no view (9 served all the while), no disk, no lost entry.

Change: where the end is not in two-way contact, the call goes to a peer that says it is; that one passes it on once, under its own address, and brings the outcome back (crates/chain/src/replica/relay.rs). An older process drops such a call as before.

Looked for elsewhere: entries, histories and confirmations have a majority or another view behind them; commits come with every heartbeat; agents choose among all control processes.

--- a/crates/chain/src/guard_tests.rs
+++ b/crates/chain/src/guard_tests.rs
@@ -1,5 +1,6 @@
 //! One test for each guard of a replica that nothing else notices; `docs/design/guards-chain.md` has the table.
 
+use crate::message::Outcome;
 use crate::model::{Ballot, MemberId, View};
 use crate::record::Record;
 use crate::test_driver::{
@@ -8,6 +9,7 @@
 use crate::transfer::{Assembly, PieceRequest, Progress, Stream};
 use crate::{Answer, Body, CallId, Event, Heartbeat, Message, Ticket, Transfer};
 use rstest::rstest;
+use std::net::SocketAddr;
 
 const PROPOSAL: Ballot = Ballot { round: 9, proposer: PROPOSER };
 const PROPOSER: MemberId = MemberId {
@@ -78,7 +80,7 @@
 /// A head that has promised the next view judges nothing and a tail answers nothing, also what had come before.
 #[rstest]
 #[case::the_head(1, submit(1, 0))]
-#[case::the_tail(3, Message::Read { call: QUESTION })]
+#[case::the_tail(3, Message::Read { call: QUESTION, relayed: false })]
 fn a_sealed_end_is_silent(#[case] me: u8, #[case] asked: Message) {
     let mut driver = serving(me);
     let proposal = Ballot { round: 9, proposer: member(2) };
@@ -329,7 +331,7 @@
     #[case] other_run: u64, #[case] other_view: u64, #[case] answers: usize,
 ) {
     let mut driver = serving(3);
-    driver.receive(2, Message::Read { call: QUESTION });
+    driver.receive(2, Message::Read { call: QUESTION, relayed: false });
     let asked = driver.sent.iter().find_map(|(_, message)| match message {
         Message::Confirm { question, .. } => Some(*question),
         _ => None,
@@ -405,3 +407,35 @@
         0
     );
 }
+
+/// A call of another process goes on to the head or the tail once, and its outcome back to that process.
+#[rstest]
+#[case::a_change(submit(1, 0), 1)]
+#[case::a_read(Message::Read { call: QUESTION, relayed: false }, 3)]
+fn a_call_is_passed_on_once(#[case] asked: Message, #[case] end: u8) {
+    let mut driver = serving(2);
+    let origin = address(9);
+    driver.handle(Event::Message { from: origin, message: asked.clone() });
+    let passed: Vec<(SocketAddr, Message)> =
+        driver.sent.iter().filter(|(_, message)| is_call(message)).cloned().collect();
+    let [(to, message)] = passed.as_slice() else { panic!("{passed:?}") };
+    assert_eq!(*to, address(end));
+    // It does not go on again, so that no two processes send it to and fro.
+    driver.sent.clear();
+    driver.receive(if end == 1 { 3 } else { 1 }, message.clone());
+    assert_eq!(driver.count(is_call), 0);
+    let outcome = Outcome::Accepted;
+    driver.receive(end, Message::Outcome { call: QUESTION, outcome });
+    let back = driver.sent.iter().find(|(_, message)| is_outcome(message)).map(|(to, _)| *to);
+    assert_eq!(back, Some(origin));
+    // Nor does a second outcome.
+    driver.sent.clear();
+    driver.receive(end, Message::Outcome { call: QUESTION, outcome });
+    assert_eq!(driver.count(is_outcome), 0);
+    driver.receive(end, asked);
+    assert_eq!(driver.count(is_call), 0, "an end that asks gets nothing back from itself");
+}
+
+fn is_call(message: &Message) -> bool {
+    matches!(message, Message::Submit { .. } | Message::Read { .. })
+}
--- a/crates/chain/src/message.rs
+++ b/crates/chain/src/message.rs
@@ -149,11 +149,17 @@
         /// The configuration, byte for byte.
         #[serde(with = "wire_bytes")]
         bytes: Arc<[u8]>,
+        /// Whether the sender passes it on for another process. Such a call is not passed on again.
+        #[serde(default)]
+        relayed: bool,
     },
     /// A read, for the tail.
     Read {
         /// The call.
         call: CallId,
+        /// As in [`Message::Submit`].
+        #[serde(default)]
+        relayed: bool,
     },
     /// How a call came out.
     Outcome {
--- a/crates/chain/src/peers.rs
+++ b/crates/chain/src/peers.rs
@@ -171,7 +171,7 @@
     }
 
     /// Whether `end` says that its link to `peer` works both ways.
-    fn claims(&self, end: SocketAddr, peer: SocketAddr, now: Duration) -> bool {
+    pub fn claims(&self, end: SocketAddr, peer: SocketAddr, now: Duration) -> bool {
         if end == self.me {
             return self.two_way(peer, now);
         }
--- a/crates/chain/src/replica/calls.rs
+++ b/crates/chain/src/replica/calls.rs
@@ -111,18 +111,20 @@
                 version: *version,
                 digest: digest.fnv,
                 bytes: bytes.clone(),
+                relayed: false,
             },
-            Wish::Read { .. } => Message::Read { call: id },
+            Wish::Read { .. } => Message::Read { call: id, relayed: false },
         };
-        self.send(to, message);
+        let way = self.way_to(to);
+        self.send(way, message);
     }
 
     pub(super) fn on_outcome(&mut self, from: SocketAddr, call: CallId, outcome: Outcome) {
+        if call.incarnation != self.incarnation {
+            return self.relay_outcome(call, outcome);
+        }
         let ticket = Ticket(call.ticket);
-        let Some(open) = self.calls.calls.get_mut(&ticket).filter(|_| call.incarnation == self.incarnation)
-        else {
-            return;
-        };
+        let Some(open) = self.calls.calls.get_mut(&ticket) else { return };
         let answer = match (outcome, &mut open.wish) {
             (Outcome::Accepted, Wish::Submit { version, .. }) => Answer::Accepted { version: *version },
             (Outcome::Conflict { current }, Wish::Submit { .. }) => Answer::Conflict { current },
--- a/crates/chain/src/replica/mod.rs
+++ b/crates/chain/src/replica/mod.rs
@@ -12,6 +12,7 @@
 //! | `head` | judging the changes of the operator |
 //! | `tail` | reads, and whether a view is still in force |
 //! | `calls` | the operator's calls at this process |
+//! | `relay` | calls passed on for processes that do not reach an end of the chain |
 
 mod acceptor;
 mod calls;
@@ -22,6 +23,7 @@
 mod leave;
 mod proposer;
 mod recovery;
+mod relay;
 mod replication;
 mod tail;
 
@@ -40,6 +42,7 @@
 use follow::Follower;
 use head::Head;
 use install::Installation;
+use relay::Relayed;
 use replication::Successor;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -95,6 +98,7 @@
     head: Head,
     tail: Tail,
     calls: Calls,
+    relayed: Relayed,
 }
 
 impl Replica {
@@ -219,10 +223,18 @@
             Message::Committed { mark } => self.learn_commit(from, mark),
             Message::Confirm { view, question } => self.on_confirm(from, view, question),
             Message::Confirmed { view, question } => self.on_confirmed(from, view, question),
-            Message::Submit { call, base, version, digest: _, bytes } => {
+            Message::Submit { call, base, version, digest: _, bytes, relayed: false }
+                if self.view.head() != Some(self.identity) =>
+            {
+                self.relay_submit(from, call, base, version, bytes);
+            }
+            Message::Submit { call, base, version, digest: _, bytes, relayed: _ } => {
                 self.on_submit(from, call, base, version, bytes);
             }
-            Message::Read { call } => self.on_read(from, call),
+            Message::Read { call, relayed: false } if self.view.tail() != Some(self.identity) => {
+                self.relay_read(from, call);
+            }
+            Message::Read { call, relayed: _ } => self.on_read(from, call),
             Message::Outcome { call, outcome } => self.on_outcome(from, call, outcome),
             Message::ConfigRequest { above } => self.on_config_request(from, above),
             Message::Config { config } => self.on_config(config),
--- a/crates/chain/src/replica/recovery.rs
+++ b/crates/chain/src/replica/recovery.rs
@@ -1,7 +1,7 @@
 //! From records to a state, and from a state to the records of a rewrite.
 
 use super::{Replica, calls::Calls, contact::Contact, follow::Follower, head::Head};
-use super::{install::Installation, replication::Successor, tail::Tail};
+use super::{install::Installation, relay::Relayed, replication::Successor, tail::Tail};
 use crate::api::{LogLine, RecoverError};
 use crate::consensus::{Acceptor, Proposer};
 use crate::digest::Fnv;
@@ -124,6 +124,7 @@
         head: Head::default(),
         tail: Tail::default(),
         calls: Calls::default(),
+        relayed: Relayed::default(),
     };
     replica.start(empty);
     replica
--- a/crates/chain/src/replication_guard_tests.rs
+++ b/crates/chain/src/replication_guard_tests.rs
@@ -32,7 +32,7 @@
 #[test]
 fn a_tail_answers_no_read_before_its_view_serves() {
     let mut driver = not_serving(3);
-    driver.receive(2, Message::Read { call: QUESTION });
+    driver.receive(2, Message::Read { call: QUESTION, relayed: false });
     let asked = driver.sent.iter().find_map(|(_, message)| match message {
         Message::Confirm { question, .. } => Some(*question),
         _ => None,
@@ -49,7 +49,7 @@
     driver.sync();
     let Message::Submit { base, version, digest, bytes, .. } = submit(2, 0) else { unreachable!("a change") };
     let call = CallId { ticket: 2, ..QUESTION };
-    driver.receive(3, Message::Submit { call, base, version, digest, bytes });
+    driver.receive(3, Message::Submit { call, base, version, digest, bytes, relayed: false });
     assert_eq!(driver.count(is_outcome), 0);
     driver.receive(3, Message::Committed { mark: entry(1).mark });
     let is_conflict = |message: &Message| {
--- a/crates/chain/src/test_driver.rs
+++ b/crates/chain/src/test_driver.rs
@@ -71,7 +71,14 @@
 /// A change for the head.
 pub fn submit(version: u64, base: u64) -> Message {
     let bytes: Vec<u8> = format!("configuration {version}").into_bytes();
-    Message::Submit { call: QUESTION, base, version, digest: Fnv::of(&bytes), bytes: bytes.into() }
+    Message::Submit {
+        call: QUESTION,
+        base,
+        version,
+        digest: Fnv::of(&bytes),
+        bytes: bytes.into(),
+        relayed: false,
+    }
 }
 
 pub fn is_outcome(message: &Message) -> bool {
