Show by a test that a resumed stream's handle goes to a second run

Found by the invariant handle_used_once while it was placed: decode() tells a run by the request being proven unrun before and not after, and a resumed stream has always run before. The test forces it: the decode server of the resumed run reads the request and resets; the next one is sent the same handle.

--- a/crates/proxy/tests/pairs.rs
+++ b/crates/proxy/tests/pairs.rs
@@ -292,3 +292,42 @@
     })
     .await;
 }
+
+/// The run of a resumed stream that broke may have taken the handle: no other server is sent to with it.
+#[tokio::test]
+async fn a_handle_of_a_resumed_stream_goes_to_one_run() {
+    // A violation would end the request's task, and leave the test waiting.
+    let _tolerance = lugwharf_invariants::tolerate();
+    let setup = paired(r#","Resumable":true,"MaxAttempts":6"#, &["p"], &["d", "e", "f", "g"]);
+    with_world(setup, async |world| {
+        let mut client = world.ask("r1", "").await;
+        let _first_reader = reading(world, "p", &prefilled("one")).await;
+        let mut server = any_decoder(world).await;
+        assert!(server.message().await.is_some());
+        server.send(&stream_head("r1")).await;
+        server.send(&chunk(&event(1))).await;
+        assert!(client.until("\r\n\r\n").await.is_some());
+        server.reset();
+        let mut second_reader = reading(world, "p", &prefilled("two")).await;
+        let mut server = any_decoder(world).await;
+        let seen = server.message().await.expect("a request");
+        assert!(seen.header("kv-from").is_some_and(|from| from.ends_with("/two")), "{}", seen.head);
+        server.reset();
+        let mut server = any_decoder(world).await;
+        let seen = server.message().await.expect("a request");
+        assert_eq!(seen.header("kv-from"), None, "{}", seen.head);
+        is_freed(&mut second_reader, "two").await;
+        server.send(&stream_head("r1")).await;
+        server.send(&chunk(&event(2))).await;
+        server.send(LAST_CHUNK).await;
+        assert_eq!(client.stream().await, (event(1) + event(2).as_str(), true));
+    })
+    .await;
+}
+
+async fn any_decoder(world: &World) -> Peer {
+    tokio::select! {
+        (peer, _) = world.accept_either("d", "e") => peer,
+        (peer, _) = world.accept_either("f", "g") => peer,
+    }
+}
