Give a handle to one run of a resumed stream

Cause: decode() compared whether the request was proven unrun before and after a send; a resumed stream had run before, so that a run that broke went unnoticed, and the next decode server was sent the same handle, perhaps taken. It refuses it, so no rule broke, but the attempts and the retry budget went to sends that could not succeed.

Change: the runs are counted instead. Looked for the same cause: the other uses of is_unrun decide about refusals and promises, for which a run at any time counts.

--- a/crates/proxy/src/generate.rs
+++ b/crates/proxy/src/generate.rs
@@ -197,7 +197,6 @@
         let sent = job.send(&choice, part, &extra, job.by).await;
         job.tried.push(choice.key);
         let has_arrived = !matches!(sent, Sent::Unsent | Sent::Late);
-        let was_unrun = job.attempts.is_unrun();
         if let Some(taken) = take(job, &choice, sent)? {
             if let Some(handle) = handle.filter(|_| taken.verdict == Verdict::Success) {
                 note_hand_over(job, true);
@@ -206,7 +205,7 @@
             return Ok(Some(taken));
         }
         // It may have run: the handle is used up.
-        if was_unrun != job.attempts.is_unrun() {
+        if job.attempts.runs() != runs_before {
             return Ok(None);
         }
         rejections += u32::from(has_arrived);
