--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -18,6 +18,10 @@
 const GRACE: Duration = Duration::from_secs(9);
 /// A trouble of servers counts for requests so much later: connections and averages remember it.
 const SERVER_MARGIN: Duration = Duration::from_millis(1_000);
+/// `AckMs` of the fleet's settings.
+const ACK: Duration = Duration::from_millis(4_000);
+/// A trouble of the control machines counts for the operators so much later: `ContactMs`, and the time to catch up.
+const CONTROL_MARGIN: Duration = Duration::from_millis(7_000);
 /// `DrainMs` with the list's own lag and a rig that is a little late.
 const DRAIN: Duration = Duration::from_millis(3_300);
 /// Orders to one server in a run without troubles: one to take its part, and one to take it back.
@@ -62,9 +66,32 @@
     drains(records, &mut found);
     orders(records, &mut found);
     configurations(&records.book.puts(), &records.book.reads(), &mut found);
+    answered_in_calm(records, &mut found);
     found
 }
 
+/// While the control machines are well, each change is acknowledged in time and each read is answered.
+fn answered_in_calm(records: &Records<'_>, found: &mut Vec<Finding>) {
+    let is_calm = |began: Duration, ended: Duration| {
+        let mut harms = records.schedule.troubles.iter().filter(|trouble| trouble.kind.harms_control());
+        !harms.any(|trouble| trouble.at < ended && trouble.end() + CONTROL_MARGIN > began)
+    };
+    for put in records.book.puts().iter().filter(|put| is_calm(put.began, put.ended)) {
+        let took = put.ended - put.began;
+        if matches!(put.verdict, Verdict::Unclear) || took > ACK {
+            let facts =
+                format!("version {} after {} ms: {:?}", put.version, took.as_millis(), put.verdict.status());
+            found.push(Finding { rule: "not_acknowledged", facts });
+        }
+    }
+    for read in records.book.reads().iter().filter(|read| is_calm(read.began, read.ended)) {
+        if read.bytes.is_none() {
+            let facts = format!("no answer at {} from {} ms on", read.from, read.began.as_millis());
+            found.push(Finding { rule: "not_read", facts });
+        }
+    }
+}
+
 /// The rules TWICE, UNASKED, REFUSED, MIXED and ROUTE, by the runs at the servers.
 fn requests(records: &Records<'_>, found: &mut Vec<Finding>) {
     let outcomes: Vec<Outcome> = records.attempts.iter().map(|attempt| attempt.outcome.clone()).collect();
@@ -102,14 +129,27 @@
 
 /// Whether a trouble of its front could have harmed a request.
 fn is_front_harmed(records: &Records<'_>, attempt: &Attempt) -> bool {
-    let harms = |kind: Kind| kind.harms_fronts();
-    let mut troubles = records.schedule.troubles.iter().filter(|trouble| harms(trouble.kind));
-    troubles.any(|trouble| {
+    let mut troubles = front_troubles(records, attempt);
+    troubles.any(|kind| kind != Kind::FrontTerm || !is_owed_by_a_draining_front(records, attempt))
+}
+
+/// A front that was told to end owes an answer to each request that it has passed on to a server; who comes later is turned
+/// away, and one that it has not read may cross the end of its connection.
+fn is_owed_by_a_draining_front(records: &Records<'_>, attempt: &Attempt) -> bool {
+    let has_arrived = !records.ledger.arrivals_of(&attempt.outcome.request_id).is_empty();
+    attempt.outcome.ending == Ending::Cut && has_arrived
+}
+
+/// The kinds of troubles of its front around a request.
+fn front_troubles<'a>(records: &'a Records<'_>, attempt: &'a Attempt) -> impl Iterator<Item = Kind> + 'a {
+    let troubles = records.schedule.troubles.iter().filter(|trouble| trouble.kind.harms_fronts());
+    let struck = troubles.filter(|trouble| {
         let grace = if trouble.kind == Kind::FrontTerm { GRACE } else { Duration::ZERO };
         let is_here = trouble.target % records.fronts == attempt.front;
         let (from, until) = (trouble.at, trouble.end() + grace + FRONT_MARGIN);
         is_here && attempt.began < until && attempt.ended + FRONT_MARGIN > from
-    })
+    });
+    struck.map(|trouble| trouble.kind)
 }
 
 fn is_server_harmed(schedule: &Schedule, attempt: &Attempt) -> bool {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -113,6 +113,25 @@
         matches!(self, Kind::ProxyKill | Kind::FrontTerm | Kind::FrontFreeze)
     }
 
+    /// Whether the control machines or the links between them are in trouble.
+    pub fn harms_control(self) -> bool {
+        matches!(
+            self,
+            Kind::ControlKill
+                | Kind::ControlTerm
+                | Kind::ControlFreeze
+                | Kind::ControlWipe
+                | Kind::ControlHerd
+                | Kind::ControlReplace
+                | Kind::PairSilent
+                | Kind::PairReset
+                | Kind::PairOneWay
+                | Kind::PairSlow
+                | Kind::Halves
+                | Kind::Mute
+        )
+    }
+
     /// Whether servers fail requests.
     pub fn harms_servers(self) -> bool {
         matches!(
