Spread the requests of a split route evenly over its weights at each proxy

Cause: each request drew its own random lot, so that the shares of n requests miss the weights by about the square root of n: of 300 requests at 10 % some 5 more or fewer, and of the few that one proxy has, any number. Change: each split of a configuration has lots in the golden ratio's sequence from a random beginning. Test: shares_of_few_requests_are_near_the_weights.

--- a/crates/proxy/src/job.rs
+++ b/crates/proxy/src/job.rs
@@ -12,7 +12,7 @@
 use crate::wire::RequestHead;
 use lugwharf_config::{Route, RouteKind};
 use lugwharf_invariants::{Invariant, check};
-use lugwharf_routing::{Attempts, Choice, Failure, NoChoice, Part, Prompt, Query, ServerKey, by_weight};
+use lugwharf_routing::{Attempts, Choice, Failure, NoChoice, Part, Prompt, Query, ServerKey};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -91,7 +91,7 @@
         shared: &'a Rc<Shared>, request: &'a ClientRequest, routes: &'a Rc<Routes>, trace: &'a RequestTrace,
     ) -> Result<Job<'a>, Refusal> {
         let route = find(&request.head, routes)?;
-        let service = target(shared, route).ok_or(Refusal::Unavailable)?;
+        let service = routes.target(route).ok_or(Refusal::Unavailable)?;
         let definition = routes.service(service);
         let timeout = time_limit(route);
         let patience = request.patience().unwrap_or(timeout).min(timeout);
@@ -302,15 +302,6 @@
     routes.find(host.trim(), target).ok_or(Refusal::NoRoute)
 }
 
-/// The service of one request, by weight.
-fn target<'a>(shared: &Shared, route: &'a Route) -> Option<&'a str> {
-    if let Some(service) = &route.service {
-        return Some(service);
-    }
-    let index = by_weight(route.traffic_split.iter().map(|split| split.weight), shared.lot())?;
-    route.traffic_split.get(index).map(|split| split.service.as_str())
-}
-
 impl From<NoChoice> for Refusal {
     fn from(none: NoChoice) -> Refusal {
         match none {
--- a/crates/proxy/src/routes.rs
+++ b/crates/proxy/src/routes.rs
@@ -1,19 +1,36 @@
 //! A configuration in force, with what is looked up in it.
 
 use lugwharf_config::{Configuration, Route, RouteTable, Service};
+use lugwharf_routing::{SplitLots, by_weight};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 
 /// One configuration, never changed. Requests hold the one that they began with.
 #[derive(Debug)]
 pub struct Routes {
     configuration: Configuration,
     table: RouteTable,
+    /// The lots of each route that is split, by its name.
+    splits: BTreeMap<String, RefCell<SplitLots>>,
 }
 
 impl Routes {
-    /// Prepares a configuration.
-    pub fn new(configuration: Configuration) -> Routes {
+    /// Prepares a configuration. `first_lot` gives a random number from 0 to below 1 for each split.
+    pub fn new(configuration: Configuration, first_lot: impl Fn() -> f64) -> Routes {
         let table = RouteTable::new(&configuration);
-        Routes { configuration, table }
+        let split = configuration.routes.iter().filter(|route| !route.traffic_split.is_empty());
+        let splits = split.map(|route| (route.name.clone(), RefCell::new(SplitLots::new(first_lot()))));
+        Routes { table, splits: splits.collect(), configuration }
+    }
+
+    /// The service of one request on a route, by weight; `None` if no weight is above 0.
+    pub fn target<'a>(&self, route: &'a Route) -> Option<&'a str> {
+        if let Some(service) = &route.service {
+            return Some(service);
+        }
+        let lot = self.splits.get(&route.name)?.borrow_mut().draw();
+        let index = by_weight(route.traffic_split.iter().map(|split| split.weight), lot)?;
+        route.traffic_split.get(index).map(|split| split.service.as_str())
     }
 
     /// Its number.
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -162,7 +162,7 @@
         spdlog::info!("config version={} routes={}", configuration.version, configuration.routes.len());
         self.balancer.borrow_mut().retain_services(|name| configuration.service(name).is_some());
         *self.limits.borrow_mut() = configuration.limits.clone();
-        *self.routes.borrow_mut() = Some(Rc::new(Routes::new(configuration)));
+        *self.routes.borrow_mut() = Some(Rc::new(Routes::new(configuration, || self.lot())));
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -38,5 +38,5 @@
 pub use report::LoadReport;
 pub use sample::{Failure, Part, Sample, Work};
 pub use server::ServerKey;
-pub use split::by_weight;
+pub use split::{SplitLots, by_weight};
 pub use tuning::{Normalisation, StickyKey, Tuning};
--- a/crates/routing/src/split.rs
+++ b/crates/routing/src/split.rs
@@ -1,5 +1,29 @@
 //! Picks one of several targets by weight.
 
+/// The fractional part of the golden ratio: multiples of it, without their whole parts, lie as evenly as they can.
+const STEP: f64 = 0.618_033_988_749_894_9;
+
+/// Lots for one split at one proxy, from 0 to below 1. They are spread evenly over any number of requests, so that the shares of
+/// few requests are near the weights; random lots would miss them by the square root of the number.
+#[derive(Clone, Debug)]
+pub struct SplitLots {
+    next: f64,
+}
+
+impl SplitLots {
+    /// Lots that begin anywhere, so that proxies don't draw alike.
+    pub fn new(first: f64) -> SplitLots {
+        SplitLots { next: first.rem_euclid(1.0) }
+    }
+
+    /// The next lot.
+    pub fn draw(&mut self) -> f64 {
+        let lot = self.next;
+        self.next = (lot + STEP).fract();
+        lot
+    }
+}
+
 /// The index of a target: each with a chance of its weight over the sum. `lot` is a random number from 0 to below 1. `None`
 /// if no weight is above 0.
 pub fn by_weight(weights: impl Iterator<Item = f64> + Clone, lot: f64) -> Option<usize> {
--- a/crates/routing/tests/limits.rs
+++ b/crates/routing/tests/limits.rs
@@ -5,8 +5,8 @@
 use common::*;
 use lugwharf_protocol::{ServerDelta, TablePosition};
 use lugwharf_routing::{
-    Attempts, Balancer, Ejection, Failure, HandOver, LoadReport, Part, RetryBudget, Sample, Tuning, Work,
-    by_weight,
+    Attempts, Balancer, Ejection, Failure, HandOver, LoadReport, Part, RetryBudget, Sample, SplitLots,
+    Tuning, Work, by_weight,
 };
 use rstest::rstest;
 use std::time::Duration;
@@ -203,6 +203,28 @@
     assert_eq!(by_weight(weights.iter().copied(), lot), expected);
 }
 
+/// Many proxies with few requests each: each of them is within two requests of the weights, and all together within 2 in 100.
+#[rstest]
+fn shares_of_few_requests_are_near_the_weights(
+    #[values(0.5, 0.2, 0.1, 0.05)] weight: f64, #[values(5, 15, 40)] requests: u32,
+) {
+    let proxies = 300 / requests;
+    let mut all = 0;
+    for proxy in 0..proxies {
+        let mut lots = SplitLots::new(f64::from(proxy) * 0.377);
+        let draws =
+            (0..requests).filter(|_| by_weight([1.0 - weight, weight].into_iter(), lots.draw()) == Some(1));
+        let drawn = draws.count() as f64;
+        assert!(
+            (drawn - weight * f64::from(requests)).abs() <= 2.0,
+            "{drawn} of {requests} at proxy {proxy}"
+        );
+        all += drawn as u32;
+    }
+    let share = f64::from(all) / f64::from(proxies * requests);
+    assert!((share - weight).abs() <= 0.02, "{share} for {weight}");
+}
+
 #[test]
 fn pairs_are_given_up_once_most_hand_overs_fail_but_for_trials() {
     let mut hand_over = HandOver::default();
