Take a shortage of the proxy's own for no failure of a server

Cause: connection() mapped each error of connect() to Fault::Connect. Out of descriptors, memory, addresses or buffers, a proxy so priced every server as a time-out and ejected it, on a machine that only needed a moment. Change: these errors are Fault::Moot, as is a bound on connections: another server is tried, and nothing is learned of the first. Looked for the same cause: the agent's and the list reader's connections move on to another process, which is right also then; accept() already gives up a connection that rests.

--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -8,6 +8,7 @@
 use crate::upstream::writing::{Writer, Written};
 use crate::wire::{BodyDecoder, Decoded, Framing, ResponseHead, response_framing};
 use lugwharf_routing::{Choice, LoadReport, Part, ServerKey};
+use std::io;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -26,6 +27,8 @@
 /// [`RESTED`]: the reset by a server that is full, or has just closed it, arrives meanwhile.
 const HOLD_BACK: Duration = Duration::from_millis(2);
 const RESTED: Duration = Duration::from_millis(500);
+/// Errors of Linux by which a process is short of memory, descriptors (of its own and of the machine), addresses or buffers.
+const OWN_SHORTAGES: [i32; 5] = [12, 23, 24, 99, 105];
 /// Bytes of answers to other requests that are read over at most.
 pub const MOST_SURPLUS: usize = 64 * 1024;
 
@@ -179,10 +182,17 @@
     let by = now + terms.objective.clamp(CONNECT_LEAST, CONNECT_MOST).min(left / CONNECT_PART);
     match timeout_at(by, Connection::open(server.address, open)).await {
         Ok(Ok(connection)) => Ok(connection),
-        Ok(Err(_)) | Err(_) => Err(Fault::Connect),
+        Ok(Err(error)) => Err(connect_fault(&error)),
+        Err(_) => Err(Fault::Connect),
     }
 }
 
+/// What a connection that did not come up tells: where this process or its machine is short of something, nothing of the server.
+pub fn connect_fault(error: &io::Error) -> Fault {
+    let is_own = error.raw_os_error().is_some_and(|number| OWN_SHORTAGES.contains(&number));
+    if is_own { Fault::Moot } else { Fault::Connect }
+}
+
 /// How long the last byte of a request is held back on a connection that may be dead.
 pub fn hold_back(terms: &Terms, is_reused: bool, rested: Duration) -> Option<Duration> {
     let may_repeat = terms.idempotent || terms.part == Part::Prefill;
--- a/crates/proxy/src/upstream/exchange_tests.rs
+++ b/crates/proxy/src/upstream/exchange_tests.rs
@@ -2,7 +2,7 @@
 
 use crate::state::Shared;
 use crate::upstream::connection::Connection;
-use crate::upstream::exchange::{Answered, Fault, Terms, exchange, hold_back};
+use crate::upstream::exchange::{Answered, Fault, Terms, connect_fault, exchange, hold_back};
 use crate::upstream::fixtures::{choice, connected, entry, key, list, listener, outbound, shared};
 use crate::upstream::outbound::{Extra, Outbound};
 use lugwharf_routing::Part;
@@ -299,3 +299,17 @@
     let (result, _peer) = tokio::join!(sending, script);
     assert_eq!(result.err(), (!is_passed).then_some(Fault::Broken));
 }
+
+#[rstest]
+#[case::memory(12, Fault::Moot)]
+#[case::descriptors_of_the_machine(23, Fault::Moot)]
+#[case::own_descriptors(24, Fault::Moot)]
+#[case::addresses(99, Fault::Moot)]
+#[case::buffers(105, Fault::Moot)]
+#[case::reset(104, Fault::Connect)]
+#[case::timed_out(110, Fault::Connect)]
+#[case::refused(111, Fault::Connect)]
+#[case::no_route(113, Fault::Connect)]
+fn a_shortage_of_its_own_is_no_failure_of_the_server(#[case] error: i32, #[case] fault: Fault) {
+    assert_eq!(connect_fault(&std::io::Error::from_raw_os_error(error)), fault);
+}
