--- a/crates/emulator/src/host/mod.rs
+++ b/crates/emulator/src/host/mod.rs
@@ -8,6 +8,8 @@
 use crate::core::{Action, CallId, ServerCore, ServerEvent};
 use crate::fault::{Fault, FaultPlan, Matcher, Reach};
 use crate::ledger::{Run, WorkEnd};
+use crate::model_server::ModelServer;
+use crate::platform::StageSource;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -270,6 +272,14 @@
     }
 }
 
+impl Host<ModelServer> {
+    /// Tells the server's stage for as long as it runs.
+    pub fn stage_source(&self) -> StageSource {
+        let server = Arc::downgrade(&self.shared);
+        Box::new(move || server.upgrade().map(|server| lock(&server.core).stage()))
+    }
+}
+
 impl<C: ServerCore> Drop for Host<C> {
     fn drop(&mut self) {
         self.set_reach(Reach::Down);
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -2,7 +2,7 @@
 
 mod host;
 
-pub use host::{PlatformCall, PlatformHost};
+pub use host::{PlatformCall, PlatformHost, StageSource};
 
 use crate::model_server::Stage;
 use crate::wire::{Answer, Request};
@@ -149,6 +149,14 @@
         }
     }
 
+    /// Notes the stage of a model server, if it is another one than before.
+    pub fn show_stage(&mut self, id: &str, stage: &str, now: Duration) {
+        let is_other = self.actual.get(id).is_some_and(|entry| entry.stage.as_deref() != Some(stage));
+        if is_other {
+            self.change(id, now, |entry| entry.stage = Some(stage.to_owned()));
+        }
+    }
+
     /// Removes an entry.
     pub fn remove(&mut self, id: &str, now: Duration) {
         self.actual.remove(id);
--- a/crates/emulator/src/platform/host.rs
+++ b/crates/emulator/src/platform/host.rs
@@ -3,7 +3,9 @@
 use super::{Listed, ListedState, Platform, PlatformParameters};
 use crate::fault::Reach;
 use crate::host::{World, lock};
+use crate::model_server::Stage;
 use crate::wire::{Answer, Connection, Request};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -27,13 +29,33 @@
 /// Calls that are kept; older ones are forgotten, so that a long run stays bounded.
 const MOST_CALLS: usize = 10_000;
 
+/// Tells the stage that a server has; nothing once it is gone.
+pub type StageSource = Box<dyn Fn() -> Option<Stage> + Send>;
+
 struct Shared {
     platform: Mutex<Platform>,
+    /// Where the stages of servers are asked, by their ids.
+    stages: Mutex<BTreeMap<String, StageSource>>,
     calls: Mutex<Vec<PlatformCall>>,
     reach: watch::Sender<Reach>,
     world: World,
 }
 
+impl Shared {
+    /// Notes the stages that have changed since the last call.
+    fn show_stages(&self) {
+        let now = self.world.now();
+        let mut platform = lock(&self.platform);
+        lock(&self.stages).retain(|id, source| {
+            let stage = source();
+            if let Some(stage) = stage {
+                platform.show_stage(id, stage.word(), now);
+            }
+            stage.is_some()
+        });
+    }
+}
+
 /// The platform on its socket.
 pub struct PlatformHost {
     shared: Arc<Shared>,
@@ -49,6 +71,7 @@
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             platform: Mutex::new(Platform::new(parameters)),
+            stages: Mutex::default(),
             calls: Mutex::default(),
             reach: watch::Sender::new(Reach::Open),
             world: world.clone(),
@@ -67,6 +90,11 @@
         lock(&self.shared.platform).put(entry, self.shared.world.now());
     }
 
+    /// Lets the list show the stage that a server has, whatever orders it follows.
+    pub fn follow_stage(&self, id: &str, source: StageSource) {
+        lock(&self.shared.stages).insert(id.to_owned(), source);
+    }
+
     /// Changes an entry.
     pub fn change(&self, id: &str, change: impl FnOnce(&mut Listed)) {
         lock(&self.shared.platform).change(id, self.shared.world.now(), change);
@@ -130,6 +158,7 @@
     let mut reach = shared.reach.subscribe();
     while let Ok(Some(request)) = connection.read_request().await {
         let _ = reach.wait_for(|reach| *reach != Reach::Dark).await;
+        shared.show_stages();
         let answer = lock(&shared.platform).call(&request, shared.world.now());
         note(shared, &request, &answer);
         if connection.write(&answer.encode()).await.is_err() {
--- a/crates/lugwharf/tests/support/mod.rs
+++ b/crates/lugwharf/tests/support/mod.rs
@@ -135,6 +135,7 @@
         let host = Host::start(&self.world, any, core, HostOptions::default()).await.expect("a server");
         let listed = Listed::plain(instance, MODEL_SERVICE, host.address(), ZONE, slots);
         self.platform.put(listed.staged(stage, "m", 1));
+        self.platform.follow_stage(instance, host.stage_source());
         host
     }
 
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -303,6 +303,7 @@
                 let core = ModelServer::new(identity, parameters);
                 let host = Host::start(world, server.address, core, options).await?;
                 server.address = host.address();
+                self.platform.follow_stage(&server.id, host.stage_source());
                 let listed = Listed::plain(&server.id, MODEL_SERVICE, server.address, ZONE, slots);
                 (Running::Model(host), listed.staged(stage, "m", 1))
             }
@@ -383,16 +384,6 @@
             }
         }
     }
-
-    /// Lets the list show the stage that each model server has.
-    pub fn list_stages(&self) {
-        for server in &self.servers {
-            if let Some(Running::Model(host)) = &server.running {
-                let stage = host.with_core(|core| core.stage()).word().to_owned();
-                self.platform.change(&server.id, |entry| entry.stage = Some(stage));
-            }
-        }
-    }
 }
 
 /// The configuration of a version: the routes of all clients, and one that tells it from others.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -165,7 +165,6 @@
                 operators.addresses.send_replace(control_addresses(fleet));
             }
             Step::Look => {
-                fleet.list_stages();
                 watch.look(fleet, scenario.fronts).await;
                 let has_more = steps.iter().any(|(_, step)| *step != Step::Look);
                 if has_more || fleet.world.now() < length {
