--- a/crates/soak/src/watch.rs
+++ b/crates/soak/src/watch.rs
@@ -28,6 +28,7 @@
 impl Watch {
     /// Looks at all processes once.
     pub async fn look(&mut self, fleet: &mut Fleet, fronts: usize) {
+        let mut holders: Vec<Unit> = Vec::new();
         for unit in fleet.units(fronts) {
             let name = unit.name();
             let Some(process) = fleet.cluster.process(&name) else { continue };
@@ -44,8 +45,24 @@
             }
             if let Ok(Some(text)) = timeout(ANSWER_WITHIN, metrics_of(fleet, unit)).await {
                 self.read(unit, id, &text);
+                holders.extend(holds_role(&text).then_some(unit));
             }
         }
+        self.look_at_holders(fleet, &holders).await;
+    }
+
+    /// Of two that said one after the other that they hold the role, the first may have lost it in between; not if it says so
+    /// again.
+    async fn look_at_holders(&mut self, fleet: &Fleet, holders: &[Unit]) {
+        let [first, others @ ..] = holders else { return };
+        if others.is_empty() {
+            return;
+        }
+        let text = timeout(ANSWER_WITHIN, metrics_of(fleet, *first)).await.ok().flatten();
+        if text.is_some_and(|text| holds_role(&text)) {
+            let names: Vec<String> = holders.iter().map(|unit| unit.name()).collect();
+            self.find("two_holders", format!("{names:?} at {} ms", fleet.world.now().as_millis()));
+        }
     }
 
     /// Looks at what each process holds at rest.
@@ -99,6 +116,11 @@
     }
 }
 
+/// Whether a control process holds the list reader's role.
+fn holds_role(text: &str) -> bool {
+    text.lines().any(|line| line == "lugwharf_control_list_reader 1")
+}
+
 async fn metrics_of(fleet: &Fleet, unit: Unit) -> Option<String> {
     match unit {
         Unit::Control(index) => fleet.cluster.control_metrics(index).await,
