--- a/crates/lugwharf/tests/explained.rs
+++ b/crates/lugwharf/tests/explained.rs
@@ -2,8 +2,10 @@
 
 mod support;
 
+use lugwharf_emulator::client::{Client, Ending};
 use lugwharf_emulator::cluster::{Signal, poll};
 use lugwharf_emulator::fault::{Fault, Matcher};
+use lugwharf_emulator::model_server::{ModelParameters, Stage};
 use rstest::rstest;
 use std::collections::BTreeMap;
 use support::{Fleet, PLAIN_SERVICE, SMALL};
@@ -89,8 +91,7 @@
     fleet.cluster.start_front_process(0, "proxy").expect("a start");
     let request = fleet.work();
     let address = fleet.cluster.front_address(0);
-    let answered =
-        || async { lugwharf_emulator::client::Client::new(address).send(&request).await.status == Some(503) };
+    let answered = || async { Client::new(address).send(&request).await.status == Some(503) };
     assert!(poll(answered).await, "{}", fleet.cluster.logs());
     let line = line_of(&fleet, &request.request_id).await;
     let told = ["outcome", "route", "config_version", "sends"].map(|name| field(&line, name));
@@ -98,6 +99,26 @@
     assert!(told[3].starts_with("[]"), "{line}");
 }
 
+/// A stream that outlasts the grace of its front is cut with the process, and the process says so before it ends.
+#[tokio::test]
+async fn a_request_that_outlasts_the_drain_is_told_of() {
+    let decode = ModelParameters { step_ms: 40.0, ..ModelParameters::quick(Stage::Decode) };
+    let mut fleet = Fleet::start_bounded(SMALL, decode, &[("GraceS", "1")]).await;
+    let request = fleet.generation(400);
+    let address = fleet.cluster.front_address(0);
+    let stream = tokio::spawn({
+        let request = request.clone();
+        async move { Client::new(address).send(&request).await }
+    });
+    let has_begun = || async { !fleet.world.ledger().runs_of(&request.request_id).is_empty() };
+    assert!(poll(has_begun).await, "{}", fleet.cluster.logs());
+    fleet.cluster.terminate_front(0).expect("a signal");
+    let outcome = stream.await.expect("a client");
+    assert_eq!((outcome.ending, outcome.status), (Ending::Cut, Some(200)), "{outcome:?}");
+    let line = line_of(&fleet, &request.request_id).await;
+    assert_eq!([field(&line, "outcome"), field(&line, "status")], ["cut", "200"], "{line}");
+}
+
 /// Samples by name and labels.
 fn metrics(text: &str) -> BTreeMap<String, String> {
     let samples = text.lines().filter(|line| !line.starts_with('#'));
--- a/crates/lugwharf/tests/support/mod.rs
+++ b/crates/lugwharf/tests/support/mod.rs
@@ -52,13 +52,18 @@
 
     /// The same with other figures for the decode servers.
     pub async fn start_with(size: Size, decode: ModelParameters) -> Fleet {
-        let fleet = Fleet::prepare(size, decode).await;
+        Fleet::start_bounded(size, decode, &[]).await
+    }
+
+    /// The same with some bounds of its own, by name and value.
+    pub async fn start_bounded(size: Size, decode: ModelParameters, bounds: &[(&str, &str)]) -> Fleet {
+        let fleet = Fleet::prepare(size, decode, bounds).await;
         fleet.go(size).await
     }
 
     /// The same with only some control machines that count; the others serve agents and the operator as followers.
     pub async fn start_with_followers(size: Size, counting: usize) -> Fleet {
-        let mut fleet = Fleet::prepare(size, ModelParameters::quick(Stage::Decode)).await;
+        let mut fleet = Fleet::prepare(size, ModelParameters::quick(Stage::Decode), &[]).await;
         fleet.cluster.let_count(counting);
         fleet.go(size).await
     }
@@ -84,7 +89,7 @@
         fleet
     }
 
-    async fn prepare(size: Size, decode: ModelParameters) -> Fleet {
+    async fn prepare(size: Size, decode: ModelParameters, bounds: &[(&str, &str)]) -> Fleet {
         let world = World::new();
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
         let platform =
@@ -95,7 +100,7 @@
             controls: size.controls,
             tolerated: 1,
             cloud: platform.address(),
-            bounds: Vec::new(),
+            bounds: bounds.iter().map(|(name, value)| (name.to_string(), value.to_string())).collect(),
             arguments: ["--log", "info"].map(str::to_owned).to_vec(),
             max_fds: 4_096,
             relayed: false,
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -16,6 +16,8 @@
 const FRONT_MARGIN: Duration = Duration::from_millis(1_500);
 /// A front that was told to end may take so long.
 const GRACE: Duration = Duration::from_secs(9);
+/// The rig notes the time of a trouble a little after it has struck.
+const RIG_SLACK: Duration = Duration::from_millis(50);
 /// A trouble of servers counts for requests so much later: connections and averages remember it.
 const SERVER_MARGIN: Duration = Duration::from_millis(1_000);
 /// `AckMs` of the fleet's settings.
@@ -151,9 +153,18 @@
     struck.map(|trouble| trouble.kind)
 }
 
+/// Whether a trouble of servers could have harmed a request. A server that ends harms what it has under way; the time that it
+/// is gone, or listed as draining, harms nothing.
 fn is_server_harmed(schedule: &Schedule, attempt: &Attempt) -> bool {
     let mut troubles = schedule.troubles.iter().filter(|trouble| trouble.kind.harms_servers());
-    troubles.any(|trouble| attempt.began < trouble.end() + SERVER_MARGIN && attempt.ended > trouble.at)
+    troubles.any(|trouble| {
+        let (from, until) = match trouble.kind {
+            Kind::ServerCrash => (trouble.at, trouble.at),
+            Kind::ServerDrain => (trouble.end(), trouble.end()),
+            _ => (trouble.at, trouble.end()),
+        };
+        attempt.began < until + SERVER_MARGIN && attempt.ended + RIG_SLACK > from
+    })
 }
 
 /// Each request that failed has a line in the log of its proxy, or was left out of it and counted.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,7 +3,7 @@
 
 use eyre::{Result, WrapErr, ensure, eyre};
 use getopts::{Matches, Options};
-use lugwharf_soak::{Outcome, Overlap, Scenario, Schedule, Summary, run, write_folder};
+use lugwharf_soak::{Kind, Outcome, Overlap, Scenario, Schedule, Summary, run, write_folder};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -30,6 +30,7 @@
     options.optopt("j", "jobs", "seeds at a time (1)", "N");
     options.optopt("f", "folder", "where failing seeds leave their records (soak-found)", "FOLDER");
     options.optopt("p", "schedule", "plays the troubles of this file in place of those of the seed", "FILE");
+    options.optopt("n", "only", "draws troubles of these kinds alone, as control_kill,pair_silent", "KINDS");
     options.optflag("k", "keep", "leaves records of seeds that don't fail as well");
     options.optflag("m", "minimize", "leaves out troubles of a failing seed that it fails without");
     options
@@ -43,6 +44,8 @@
     overlap: Overlap,
     length: Duration,
     schedule: Option<Schedule>,
+    /// The kinds that are drawn.
+    kinds: Vec<Kind>,
     /// Whether runs that find nothing leave their records too.
     keeps_all: bool,
 }
@@ -60,6 +63,7 @@
         overlap: Overlap(number(&matches, "overlap", 2)? as usize),
         length: Duration::from_secs(number(&matches, "seconds", 12)?),
         schedule: matches.opt_str("schedule").map(|path| read_schedule(&path)).transpose()?,
+        kinds: kinds(&matches)?,
         keeps_all: matches.opt_present("keep"),
     };
     ensure!(plan.binary.exists(), "no program at {}", plan.binary.display());
@@ -71,6 +75,13 @@
     Ok(play_all(&plan, &seeds, jobs))
 }
 
+fn kinds(matches: &Matches) -> Result<Vec<Kind>> {
+    let Some(text) = matches.opt_str("only") else { return Ok(Kind::ALL.to_vec()) };
+    let named = |name: &str| Kind::ALL.iter().copied().find(|kind| kind.name() == name);
+    let kinds = text.split(',').map(|name| named(name).ok_or_else(|| eyre!("no trouble {name:?}")));
+    kinds.collect()
+}
+
 fn number(matches: &Matches, name: &str, usual: u64) -> Result<u64> {
     let Some(text) = matches.opt_str(name) else { return Ok(usual) };
     text.parse().wrap_err_with(|| format!("--{name} {text:?}"))
@@ -128,7 +139,7 @@
 
 fn play(plan: &Plan, seed: u64, schedule: Option<Schedule>) -> Result<Outcome> {
     let scenario = Scenario::of(seed, plan.overlap, plan.length);
-    let schedule = schedule.unwrap_or_else(|| Schedule::draw(&scenario));
+    let schedule = schedule.unwrap_or_else(|| Schedule::draw_of(&scenario, &plan.kinds));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(run(&plan.binary, &scenario, &schedule))
 }
@@ -154,7 +165,7 @@
 /// Leaves out one trouble after the other of a failing seed, as long as it still fails with the same first finding.
 fn minimize(plan: &Plan, seed: u64) -> Result<bool> {
     let scenario = Scenario::of(seed, plan.overlap, plan.length);
-    let mut schedule = plan.schedule.clone().unwrap_or_else(|| Schedule::draw(&scenario));
+    let mut schedule = plan.schedule.clone().unwrap_or_else(|| Schedule::draw_of(&scenario, &plan.kinds));
     let rule = first_rule(plan, seed, &schedule)?;
     let Some(rule) = rule else {
         println!("seed {seed} does not fail");
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -243,14 +243,19 @@
 }
 
 impl Schedule {
-    /// Draws the troubles: as many strands as may overlap, each with one trouble after the other.
+    /// Draws troubles of all kinds.
     pub fn draw(scenario: &Scenario) -> Schedule {
+        Schedule::draw_of(scenario, Kind::ALL)
+    }
+
+    /// Draws troubles of these kinds: as many strands as may overlap, each with one trouble after the other.
+    pub fn draw_of(scenario: &Scenario, kinds: &[Kind]) -> Schedule {
         let mut rng = fastrand::Rng::with_seed(scenario.seed ^ 0x50a4);
         let mut troubles = Vec::new();
         for _ in 0..scenario.overlap.0 {
             let mut at = FIRST + Duration::from_millis(rng.u64(0..1_500));
             while at < scenario.length {
-                let trouble = draw_trouble(&mut rng, at, &troubles);
+                let trouble = draw_trouble(&mut rng, kinds, at, &troubles);
                 // The next one often begins while this one is being repaired.
                 at = trouble.end() + Duration::from_millis(rng.u64(0..1_200));
                 troubles.push(trouble);
@@ -284,15 +289,13 @@
     }
 }
 
-fn draw_trouble(rng: &mut fastrand::Rng, at: Duration, before: &[Trouble]) -> Trouble {
+fn draw_trouble(rng: &mut fastrand::Rng, kinds: &[Kind], at: Duration, before: &[Trouble]) -> Trouble {
     let loses_disk = |kind: Kind| matches!(kind, Kind::ControlWipe | Kind::ControlReplace);
     let wipes = before.iter().filter(|trouble| loses_disk(trouble.kind)).count();
-    let kind = loop {
-        let kind = Kind::ALL[rng.usize(..Kind::ALL.len())];
-        if !loses_disk(kind) || wipes < MOST_WIPES {
-            break kind;
-        }
-    };
+    let allowed: Vec<Kind> =
+        kinds.iter().copied().filter(|kind| !loses_disk(*kind) || wipes < MOST_WIPES).collect();
+    // Where only losses of disks were asked for, and there was one, anything else does.
+    let kind = rng.choice(&allowed).copied().unwrap_or(Kind::Reload);
     let lasts = Duration::from_millis(match rng.u32(..3) {
         0 => rng.u64(SHORTEST..800),
         1 => rng.u64(800..2_000),
