Tell of requests that are cut when a drain ends

Cause: a request's trace was finished by the task that serves it; at the end of the process the tasks are dropped. Change: a guard finishes the trace of a request whose task is dropped, as cut.

--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -7,7 +7,7 @@
 use crate::request::ClientRequest;
 use crate::service;
 use crate::state::Shared;
-use crate::trace::RequestTrace;
+use crate::trace::{RequestTrace, TraceGuard};
 use crate::wire::{self, Fill};
 use bytes::BytesMut;
 use std::rc::Rc;
@@ -58,6 +58,7 @@
     let has_body = body.is_some();
     let request = ClientRequest { head, body: body.unwrap_or_default(), has_body, arrived };
     let trace = RequestTrace::default();
+    let _guard = TraceGuard::new(&trace, shared, &request);
     let mut reply = Reply::new(write, shared, &request.head, &trace);
     tokio::select! {
         biased;
--- a/crates/proxy/src/trace.rs
+++ b/crates/proxy/src/trace.rs
@@ -84,6 +84,29 @@
     budget_denied: Cell<bool>,
     /// The status of the answer that has begun.
     status: Cell<Option<u16>>,
+    is_finished: Cell<bool>,
+}
+
+/// Sees to it that a request whose task is dropped, as at the end of the process, is counted and told of as cut.
+pub struct TraceGuard<'a> {
+    trace: &'a RequestTrace,
+    shared: &'a Shared,
+    request: &'a ClientRequest,
+}
+
+impl<'a> TraceGuard<'a> {
+    /// For the time in which the request is served.
+    pub fn new(trace: &'a RequestTrace, shared: &'a Shared, request: &'a ClientRequest) -> TraceGuard<'a> {
+        TraceGuard { trace, shared, request }
+    }
+}
+
+impl Drop for TraceGuard<'_> {
+    fn drop(&mut self) {
+        if !self.trace.is_finished.get() {
+            self.trace.finish(self.shared, self.request, RequestOutcome::Cut);
+        }
+    }
 }
 
 impl RequestTrace {
@@ -134,6 +157,7 @@
 
     /// Counts the request, and writes a line if it failed.
     pub fn finish(&self, shared: &Shared, request: &ClientRequest, outcome: RequestOutcome) {
+        self.is_finished.set(true);
         shared.figures.request_ended(outcome);
         if self.is_failure(request, outcome)
             && let Some(permit) = shared.figures.may_write_line(shared.now(), outcome)
