--- a/crates/lugwharf/tests/explained.rs
+++ b/crates/lugwharf/tests/explained.rs
@@ -82,6 +82,18 @@
     assert!(field(&line, "limit_ms").parse::<u64>().is_ok_and(|limit| limit <= 700), "{line}");
 }
 
+/// What was refused without a route tells the configuration that has none.
+#[tokio::test]
+async fn a_request_without_a_route_tells_the_configuration_in_force() {
+    let mut fleet = Fleet::start(SMALL).await;
+    let mut request = fleet.work();
+    request.target = "/nowhere/1".to_owned();
+    assert_eq!(fleet.send(0, &request).await.status, Some(404));
+    let line = line_of(&fleet, &request.request_id).await;
+    let told = ["outcome", "status", "route", "config_version"].map(|name| field(&line, name));
+    assert_eq!(told, ["no_route", "404", "-", "1"], "{line}");
+}
+
 #[tokio::test]
 async fn a_request_before_any_configuration_tells_so() {
     let mut fleet = Fleet::start(SMALL).await;
--- a/crates/proxy/src/trace.rs
+++ b/crates/proxy/src/trace.rs
@@ -162,7 +162,7 @@
         if self.is_failure(request, outcome)
             && let Some(permit) = shared.figures.may_write_line(shared.now(), outcome)
         {
-            self.write(request, outcome, permit.omitted);
+            self.write(shared, request, outcome, permit.omitted);
         }
     }
 
@@ -177,14 +177,14 @@
         }
     }
 
-    fn write(&self, request: &ClientRequest, outcome: RequestOutcome, omitted: u64) {
+    fn write(&self, shared: &Shared, request: &ClientRequest, outcome: RequestOutcome, omitted: u64) {
         let terms = self.terms.borrow();
         let terms = terms.as_ref();
         let route = terms.and_then(|terms| find(&request.head, &terms.routes).ok());
         let route = route.map_or("-", |route| &route.name);
         let service = terms.map_or("-", |terms| &terms.service);
         let limit_ms = terms.map_or(0, |terms| millis(terms.limit));
-        let have = terms.map(|terms| terms.have).unwrap_or_default();
+        let have = terms.map_or_else(|| shared.have(), |terms| terms.have);
         let sends = self.sends_text();
         warn!("request", kv: {
             outcome = outcome.name(), request_id = request.id(), status = self.status.get().unwrap_or(0), route, service,
