Name as the holder who acts as one, and let a winner renew at once

Cause, the class of the refused holder again: a voter named the process that it had granted its vote to, also when that one gave its campaign up (names_the_holder_that_it_voted_for_until_that_gives_up asserted this). A process that leaves took the role for handed on by such a name, asked to be left out, and the change of view could end the campaign: vacant for a lease.

The test is replaced by a stricter one. The simulation asks whether each voter's grant runs, not only whom it names.

--- a/crates/election/src/elector.rs
+++ b/crates/election/src/elector.rs
@@ -116,11 +116,17 @@
         }
     }
 
-    /// The last holder heard of, by its token; it may have lost the role since.
+    /// The last process heard of that acts as the holder, by its token; it may have lost the role since. A process that only
+    /// stands for the role, or was granted it, is none yet.
     pub fn known_holder(&self) -> Option<(SocketAddr, FencingToken)> {
         self.known
     }
 
+    /// To whom this process has granted the role until some time after `now`.
+    pub fn granted_to(&self, now: Duration) -> Option<(SocketAddr, FencingToken)> {
+        self.voter.granted_to(now)
+    }
+
     /// The records that a rewritten log must hold for this role.
     pub fn snapshot_records(&self) -> Vec<Vec<u8>> {
         self.voter.record().iter().map(|record| record.encode()).collect()
@@ -342,32 +348,24 @@
             self.give_up(now, out);
             return;
         }
-        let next_renewal = started + self.settings.renew_every;
-        self.standing = Standing::Holder(Tenure::new(token, until, next_renewal));
+        // The first renewal goes out at once: it tells the voters that did not vote, or voted for another, who has won.
+        self.standing = Standing::Holder(Tenure::new(token, until, now));
         self.failures = 0;
         self.note_claim(self.settings.me, token);
-        self.hear_of(self.settings.me, token);
         out.push(Action::Gained { token });
     }
 
-    fn hear_of(&mut self, holder: SocketAddr, token: FencingToken) {
-        // A higher token that was only stood under is no holder's.
-        if token >= self.voter.held() {
-            self.known = Some((holder, token));
-        }
-        if holder != self.settings.me {
-            self.failures = 0;
-        }
-    }
-
     /// A process acts as the holder of a token: it renews it, or has just won it.
     pub(in crate::elector) fn note_claim(&mut self, holder: SocketAddr, token: FencingToken) {
         let other = self.claim.filter(|(known, of)| *of == token && *known != holder);
         check(Invariant::OneHolderPerToken, other.is_none(), || format!("{holder} beside {other:?}"));
-        self.voter.note_held(token);
         if self.claim.is_none_or(|(_, known)| token > known) {
             self.claim = Some((holder, token));
         }
+        self.voter.note_held(token);
+        if self.voter.is_latest(holder, token) {
+            self.known = Some((holder, token));
+        }
     }
 
     /// A number that no earlier question of this process bears since its start.
--- a/crates/election/src/elector/exchange.rs
+++ b/crates/election/src/elector/exchange.rs
@@ -133,7 +133,7 @@
             self.on_vote(now, from, round, token, out);
             return;
         }
-        self.hear_of(from, token);
+        self.failures = 0;
         self.send(from, MessageBody::Vote { round, token }, out);
     }
 
--- a/crates/election/src/voter.rs
+++ b/crates/election/src/voter.rs
@@ -179,9 +179,16 @@
         self.pending.take_if(|pending| pending.batch == batch).map(|pending| pending.asked)
     }
 
-    /// The highest token that is known to have been held.
-    pub(crate) fn held(&self) -> FencingToken {
-        self.held
+    /// Whether no later token than `token` is known to have been held, and `holder` has not given it up.
+    pub(crate) fn is_latest(&self, holder: SocketAddr, token: FencingToken) -> bool {
+        let has_given_up = self.released.get(&holder).is_some_and(|released| *released >= token);
+        token >= self.held && !has_given_up
+    }
+
+    /// The holder and the token of a grant that runs.
+    pub(crate) fn granted_to(&self, now: Duration) -> Option<(SocketAddr, FencingToken)> {
+        let running = self.promise.filter(|promise| promise.until > now);
+        running.map(|promise| (promise.holder, promise.token))
     }
 
     /// Some process acts, or has acted, as the holder of `token`.
@@ -231,8 +238,7 @@
     /// others stood for the role at the same time: who renews a token has won it, with the votes of a majority. This guards
     /// progress alone. A holder is followed only by an election, and [`Voter::is_free_for`] keeps grants that run.
     fn is_current(&self, asked: Asked) -> bool {
-        let has_given_up = self.released.get(&asked.from).is_some_and(|released| *released >= asked.token);
-        asked.token >= self.held && !has_given_up && asked.token.view() <= asked.view
+        self.is_latest(asked.from, asked.token) && asked.token.view() <= asked.view
     }
 
     /// Grants what was asked for. The record stays that of the highest token, so that this process never stands for a token
--- a/crates/election/tests/questions.rs
+++ b/crates/election/tests/questions.rs
@@ -161,17 +161,45 @@
     assert_eq!(stood.len(), 2, "one request for each of the others");
 }
 
+/// A process that was only granted the role is no holder yet: it may give up.
 #[test]
-fn names_the_holder_that_it_voted_for_until_that_gives_up() {
+fn names_who_acts_as_the_holder_until_that_gives_up() {
     let mut bed = Bed::new();
     bed.hear(SETTLED, 1, MessageBody::Elect { round: 9, token: FIRST });
-    assert_eq!(bed.elector.known_holder(), None);
     bed.at(SETTLED, Event::Stored { batch: Batch(1) });
-    assert_eq!(bed.elector.known_holder(), Some((address(1), FIRST)));
+    assert_eq!(bed.elector.known_holder(), None);
     bed.hear(SETTLED + 1, 1, MessageBody::Release { token: FIRST, held: false });
-    assert_eq!(bed.elector.known_holder(), Some((address(1), FIRST)));
-    bed.hear(SETTLED + 2, 1, MessageBody::Release { token: FIRST, held: true });
     assert_eq!(bed.elector.known_holder(), None);
+    bed.hear(SETTLED + 2, 3, MessageBody::Renew { round: 9, token: FIRST });
+    assert_eq!(bed.elector.known_holder(), Some((address(3), FIRST)));
+    // A late renewal of one that has given up, and the release of one that is not the holder, change nothing.
+    bed.hear(SETTLED + 3, 1, MessageBody::Release { token: FIRST, held: true });
+    assert_eq!(bed.elector.known_holder(), Some((address(3), FIRST)));
+    bed.hear(SETTLED + 4, 3, MessageBody::Release { token: FIRST, held: true });
+    assert_eq!(bed.elector.known_holder(), None);
+    bed.hear(SETTLED + 5, 3, MessageBody::Renew { round: 9, token: FIRST });
+    assert_eq!(bed.elector.known_holder(), None);
+}
+
+/// Voters that voted for another hear of the winner at once, not with the first renewal of its rhythm.
+#[test]
+fn renews_as_soon_as_it_has_won() {
+    let mut bed = Bed::new();
+    let (now, round) = bed.asked(SETTLED);
+    bed.willing(now, 1, round);
+    let stood = bed.at(now, Event::Stored { batch: Batch(1) });
+    let elect = stood.iter().find_map(|action| match action {
+        Action::Send { message: Message { body: MessageBody::Elect { round, token }, .. }, .. } => {
+            Some((*round, *token))
+        }
+        _ => None,
+    });
+    let (round, token) = elect.expect("a request");
+    let won = bed.hear(now + 1, 1, MessageBody::Vote { round, token });
+    let is_renewal = |action: &&Action| {
+        matches!(action, Action::Send { message: Message { body: MessageBody::Renew { .. }, .. }, .. })
+    };
+    assert_eq!(won.iter().filter(is_renewal).count(), 2, "{won:?}");
 }
 
 /// The wait after a campaign that took votes is drawn from twice the time, so that two that take each other's votes part.
--- a/crates/election/tests/simulation/world.rs
+++ b/crates/election/tests/simulation/world.rs
@@ -134,15 +134,19 @@
         holders.first().copied()
     }
 
-    /// Voters that run and do not name the holder: their votes do not help it to keep the role.
+    /// Voters that run and do not help the holder to keep the role, or do not name it.
     pub fn strangers_to(&self, held: (usize, FencingToken)) -> Vec<usize> {
         let named = Some((address(held.0), held.1));
-        let knows = |process: &usize| {
-            let elector = self.processes[*process].elector.as_ref();
-            elector.is_none_or(|elector| elector.known_holder() == named)
+        let helps = |process: &usize| {
+            let process = &self.processes[*process];
+            let now = process.clock(self.now);
+            process
+                .elector
+                .as_ref()
+                .is_none_or(|elector| elector.granted_to(now) == named && elector.known_holder() == named)
         };
         let voters = self.members().into_iter().filter(|process| !self.is_amnesiac(*process));
-        voters.filter(|process| !knows(process)).collect()
+        voters.filter(|process| !helps(process)).collect()
     }
 
     pub fn run_for(&mut self, time: Duration) {
