--- a/crates/election/src/elector.rs
+++ b/crates/election/src/elector.rs
@@ -3,12 +3,12 @@
 mod exchange;
 
 use crate::campaign::{Campaign, Outcome, Phase};
+use crate::claims::Claims;
 use crate::message::{Action, Event, Message, MessageBody};
 use crate::settings::{ElectorSettings, FencingToken};
 use crate::tenure::Tenure;
 use crate::voter::{Asked, Request, Voter};
 use fastrand::Rng;
-use lugwharf_invariants::{Invariant, check};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -59,9 +59,7 @@
     voter: Voter,
     view: Option<View>,
     standing: Standing,
-    known: Option<(SocketAddr, FencingToken)>,
-    /// The process that acted as the holder of the highest token so far.
-    claim: Option<(SocketAddr, FencingToken)>,
+    claims: Claims,
     /// Campaigns in vain since the role was last known to be held.
     failures: u32,
     /// No campaign before.
@@ -81,8 +79,7 @@
             settings,
             view: None,
             standing: Standing::Follower { ask_at: None },
-            known: None,
-            claim: None,
+            claims: Claims::default(),
             failures: 0,
             rest_until: now,
             resigned: false,
@@ -119,7 +116,7 @@
     /// The last process heard of that acts as the holder, by its token; it may have lost the role since. A process that only
     /// stands for the role, or was granted it, is none yet.
     pub fn known_holder(&self) -> Option<(SocketAddr, FencingToken)> {
-        self.known
+        self.claims.known()
     }
 
     /// To whom this process has granted the role until some time after `now`.
@@ -261,7 +258,7 @@
 
     /// The role is over at this process.
     fn lose(&mut self, now: Duration, out: &mut Vec<Action>) {
-        self.known.take_if(|(holder, _)| *holder == self.settings.me);
+        self.claims.lost(self.settings.me);
         self.standing = Standing::Follower { ask_at: None };
         self.rest_until = now + self.settings.lease / SPREAD_PART;
         out.push(Action::Lost);
@@ -355,17 +352,11 @@
         out.push(Action::Gained { token });
     }
 
-    /// A process acts as the holder of a token: it renews it, or has just won it.
-    pub(in crate::elector) fn note_claim(&mut self, holder: SocketAddr, token: FencingToken) {
-        let other = self.claim.filter(|(known, of)| *of == token && *known != holder);
-        check(Invariant::OneHolderPerToken, other.is_none(), || format!("{holder} beside {other:?}"));
-        if self.claim.is_none_or(|(_, known)| token > known) {
-            self.claim = Some((holder, token));
-        }
+    /// A process acts as the holder of a token.
+    fn note_claim(&mut self, holder: SocketAddr, token: FencingToken) {
         self.voter.note_held(token);
-        if self.voter.is_latest(holder, token) {
-            self.known = Some((holder, token));
-        }
+        let is_latest = self.voter.is_latest(holder, token);
+        self.claims.note(holder, token, is_latest);
     }
 
     /// A number that no earlier question of this process bears since its start.
--- a/crates/election/src/elector/exchange.rs
+++ b/crates/election/src/elector/exchange.rs
@@ -202,7 +202,7 @@
         if held {
             self.voter.note_held(token);
             self.voter.settle(now);
-            self.known.take_if(|(holder, known)| *holder == from && *known == token);
+            self.claims.released(from, token);
         }
     }
 }
--- a/crates/election/src/lib.rs
+++ b/crates/election/src/lib.rs
@@ -32,6 +32,7 @@
 #![forbid(unsafe_code)]
 
 mod campaign;
+mod claims;
 mod elector;
 mod message;
 mod record;
