--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,7 +6,7 @@
 //! | `schedule` | draws the troubles of a seed, and when each begins and ends |
 //! | `relay` | links between machines that can be cut, reset and slowed, one direction at a time |
 //! | `fleet`, `servers`, `configuration` | the processes, the relays between them, the platform; the servers; what operators send |
-//! | `trouble` | begins and ends one trouble |
+//! | `trouble`, `startle` | begins and ends one trouble; troubles of the first start |
 //! | `traffic` | clients, some of which misbehave |
 //! | `operators` | configurations sent, raced and read back, and what was told about them |
 //! | `watch` | metrics and ends of the processes while the soak runs |
@@ -29,6 +29,7 @@
 #[cfg(test)]
 mod schedule_tests;
 mod servers;
+mod startle;
 mod traffic;
 mod trouble;
 mod watch;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -31,6 +31,11 @@
     options.optopt("f", "folder", "where failing seeds leave their records (soak-found)", "FOLDER");
     options.optopt("p", "schedule", "plays the troubles of this file in place of those of the seed", "FILE");
     options.optopt("n", "only", "draws troubles of these kinds alone, as control_kill,pair_silent", "KINDS");
+    options.optflag(
+        "t",
+        "startle",
+        "ends and freezes processes also while everything starts for the first time",
+    );
     options.optflag("k", "keep", "leaves records of seeds that don't fail as well");
     options.optflag("m", "minimize", "leaves out troubles of a failing seed that it fails without");
     options
@@ -46,6 +51,8 @@
     schedule: Option<Schedule>,
     /// The kinds that are drawn.
     kinds: Vec<Kind>,
+    /// Whether the first start has troubles too.
+    startles: bool,
     /// Whether runs that find nothing leave their records too.
     keeps_all: bool,
 }
@@ -64,6 +71,7 @@
         length: Duration::from_secs(number(&matches, "seconds", 12)?),
         schedule: matches.opt_str("schedule").map(|path| read_schedule(&path)).transpose()?,
         kinds: kinds(&matches)?,
+        startles: matches.opt_present("startle"),
         keeps_all: matches.opt_present("keep"),
     };
     ensure!(plan.binary.exists(), "no program at {}", plan.binary.display());
@@ -137,8 +145,12 @@
     summary.is_clean() && errors == 0
 }
 
+fn scenario(plan: &Plan, seed: u64) -> Scenario {
+    Scenario { startles: plan.startles, ..Scenario::of(seed, plan.overlap, plan.length) }
+}
+
 fn play(plan: &Plan, seed: u64, schedule: Option<Schedule>) -> Result<Outcome> {
-    let scenario = Scenario::of(seed, plan.overlap, plan.length);
+    let scenario = scenario(plan, seed);
     let schedule = schedule.unwrap_or_else(|| Schedule::draw_of(&scenario, &plan.kinds));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(run(&plan.binary, &scenario, &schedule))
@@ -164,7 +176,7 @@
 
 /// Leaves out one trouble after the other of a failing seed, as long as it still fails with the same first finding.
 fn minimize(plan: &Plan, seed: u64) -> Result<bool> {
-    let scenario = Scenario::of(seed, plan.overlap, plan.length);
+    let scenario = scenario(plan, seed);
     let mut schedule = plan.schedule.clone().unwrap_or_else(|| Schedule::draw_of(&scenario, &plan.kinds));
     let rule = first_rule(plan, seed, &schedule)?;
     let Some(rule) = rule else {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,6 +5,7 @@
 use crate::judge::{Finding, Records, judge};
 use crate::operators::{Book, Operators, Read, read_once};
 use crate::schedule::{Kind, Scenario, Schedule};
+use crate::startle::startle;
 use crate::traffic::{Attempt, Traffic};
 use crate::trouble::{Active, End, apply_links};
 use crate::watch::Watch;
@@ -56,7 +57,12 @@
 /// Plays a schedule on real processes of `binary`.
 pub async fn run(binary: &Path, scenario: &Scenario, schedule: &Schedule) -> Result<Outcome> {
     let mut fleet = Fleet::start(scenario, binary).await?;
-    fleet.open().await?;
+    if scenario.startles {
+        startle(&mut fleet, scenario.fronts, scenario.seed).await?;
+    }
+    if let Err(error) = fleet.open().await {
+        return Ok(unopened(schedule, &mut fleet, &error));
+    }
     let fronts: Vec<SocketAddr> = fleet.cluster.front_addresses();
     let addresses = control_addresses(&fleet);
     let operators = Operators::start(&fleet.world, addresses, scenario.seed);
@@ -106,6 +112,22 @@
     })
 }
 
+/// The outcome of a run whose fleet never came to serve.
+fn unopened(schedule: &Schedule, fleet: &mut Fleet, error: &eyre::Report) -> Outcome {
+    let findings = vec![Finding { rule: "not_opened", facts: format!("{error:#}") }];
+    fleet.cluster.take_violations();
+    Outcome {
+        schedule: schedule.clone(),
+        findings,
+        requests: 0,
+        successes: 0,
+        changes: 0,
+        reads: 0,
+        ledger: String::new(),
+        logs: fleet.cluster.logs(),
+    }
+}
+
 fn control_addresses(fleet: &Fleet) -> Vec<SocketAddr> {
     fleet.controls.iter().map(|index| fleet.cluster.control_address(*index)).collect()
 }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -225,13 +225,15 @@
     pub overlap: Overlap,
     /// For how long troubles go on.
     pub length: Duration,
+    /// Whether processes are ended and frozen while everything starts for the first time.
+    pub startles: bool,
 }
 
 impl Scenario {
     /// The run of a seed.
     pub fn of(seed: u64, overlap: Overlap, length: Duration) -> Scenario {
         let controls = if seed % 4 == 3 { 5 } else { 3 };
-        Scenario { seed, controls, fronts: 2, overlap, length }
+        Scenario { seed, controls, fronts: 2, overlap, length, startles: false }
     }
 }
 
