--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -223,24 +223,19 @@
     }
 }
 
-/// Nothing new reaches a server long after the list has shown that it drains, where only servers are in trouble.
+/// Nothing new reaches a server long after the list has shown that it drains, where nothing has kept the list from the fronts.
 fn drains(records: &Records<'_>, found: &mut Vec<Finding>) {
     let arrivals = records.ledger.arrivals();
     for (id, since) in records.drained {
-        let until = records.schedule.end();
-        let mut others = records.schedule.troubles.iter().filter(|trouble| !trouble.kind.harms_servers());
-        if others.any(|trouble| trouble.at < until && trouble.end() + DRAIN > *since) {
-            continue;
-        }
         let late = arrivals.iter().find(|arrival| arrival.instance == *id && arrival.at > *since + DRAIN);
-        if let Some(arrival) = late {
-            let facts = format!(
-                "{id} drains since {} ms, reached at {} ms",
-                since.as_millis(),
-                arrival.at.as_millis()
-            );
-            found.push(Finding { rule: "drain", facts });
+        let Some(late) = late else { continue };
+        let mut troubles = records.schedule.troubles.iter().filter(|trouble| trouble.kind.delays_lists());
+        if troubles.any(|trouble| trouble.at < late.at && trouble.end() + CONTROL_MARGIN > *since) {
+            continue;
         }
+        let facts =
+            format!("{id} drains since {} ms, reached at {} ms", since.as_millis(), late.at.as_millis());
+        found.push(Finding { rule: "drain", facts });
     }
 }
 
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -10,6 +10,8 @@
 const SHORTEST: u64 = 300;
 /// The longest, in ms: longer than leases, heartbeats and patience of any process.
 const LONGEST: u64 = 4_500;
+/// `DrainMs` of the fleet's settings, and some.
+const DRAIN: Duration = Duration::from_millis(3_500);
 /// A disk is lost at most once in a run: with a tolerance of one the second one would need the time to catch up in between.
 const MOST_WIPES: usize = 1;
 
@@ -124,6 +126,12 @@
         )
     }
 
+    /// Whether the list of servers may reach the fronts late.
+    pub fn delays_lists(self) -> bool {
+        let harmless = matches!(self, Kind::Reload | Kind::ConfigRace | Kind::ConfigBurst | Kind::Crowd);
+        !harmless && !self.harms_servers()
+    }
+
     /// Whether the control machines or the links between them are in trouble.
     pub fn harms_control(self) -> bool {
         matches!(
@@ -303,5 +311,7 @@
         1 => rng.u64(800..2_000),
         _ => rng.u64(2_000..LONGEST),
     });
+    // A server that drains is left standing for longer than the fronts may send to it.
+    let lasts = if kind == Kind::ServerDrain { lasts + DRAIN } else { lasts };
     Trouble { kind, at, lasts, target: rng.usize(..64), other: rng.usize(..64) }
 }
