--- a/crates/control/src/owner.rs
+++ b/crates/control/src/owner.rs
@@ -47,12 +47,14 @@
 #[cfg(test)]
 mod reach_tests;
 mod report;
+mod role;
 mod settings;
 mod stages;
 mod standstill;
 #[cfg(test)]
 mod standstill_tests;
 mod tables;
+mod view;
 
 use agents_seen::AgentsSeen;
 use commits::Commits;
@@ -290,49 +292,6 @@
         }
     }
 
-    /// Hands an event to the elector and carries out what it wants.
-    fn elect(&mut self, event: election::Event) {
-        let mut out = Vec::new();
-        self.elector.handle(self.now(), event, &mut out);
-        for action in out {
-            match action {
-                election::Action::Send { to, message } => self.peers.send(to, PeerBody::Election(message)),
-                election::Action::Store { batch, records } => {
-                    self.store(RecordOwner::Election, batch.0, records, false);
-                }
-                election::Action::Gained { token } => {
-                    info!("role", kv: { role = "list_reader", outcome = "gained", token = token.0 });
-                    self.stages.gained(self.now());
-                }
-                election::Action::Lost => {
-                    info!("role", kv: { role = "list_reader", outcome = "lost" });
-                    self.stages.lost();
-                }
-            }
-        }
-        self.note_holder();
-        let held = self.held_role();
-        // A renewal changes the end that workers look at, and interrupts nobody.
-        self.role.send_if_modified(|role| {
-            let before = std::mem::replace(role, held);
-            before.map(|held| held.token) != held.map(|held| held.token)
-        });
-    }
-
-    /// The list reader's role, if this process holds it now.
-    fn held_role(&self) -> Option<HeldRole> {
-        let grant = self.elector.holder(self.now())?;
-        Some(HeldRole { token: grant.token.0, until: self.started + grant.until })
-    }
-
-    fn note_holder(&mut self) {
-        let known = self.elector.known_holder();
-        if self.holder != known {
-            self.holder = known;
-            self.holder_since = self.now();
-        }
-    }
-
     /// Hands a batch to the storage thread. A rewrite of the chain's records carries the election's along.
     fn store(&mut self, owner: RecordOwner, number: u64, records: Vec<Vec<u8>>, rewrite: bool) {
         let mut marked: Vec<Vec<u8>> = records.into_iter().map(|record| owner.mark(record)).collect();
@@ -344,35 +303,6 @@
         drop(self.batches.send(Batch { owner, number, records: marked, rewrite }));
     }
 
-    /// Tells the elector of the replica's view if it is another one than before: one that was agreed, or the one that
-    /// was found on the disk.
-    fn follow_view(&mut self) {
-        let status = self.replica.status();
-        if status.view > self.elected_view {
-            self.enter_view(&status);
-        }
-        // Told before anybody hears of the acceptance, which waits for the disk: from then on this process helps nobody to
-        // hold the role in this view, as the next one may elect another.
-        if status.accepted_next && self.sealed_view < status.view {
-            self.sealed_view = status.view;
-            self.elect(election::Event::Sealed { number: status.view });
-        }
-    }
-
-    fn enter_view(&mut self, status: &chain::Status) {
-        self.elected_view = status.view;
-        self.metrics.view_changes.inc();
-        info!("view", kv: {
-            outcome = "agreed", view = status.view, members = status.members.len(), replicas = status.chain.len(),
-            position:? = status.position
-        });
-        // Links to others are opened again when something is sent there.
-        let all = self.processes.all(self.now(), self.me, &status.members);
-        self.peers.retain(|address| all.contains(address));
-        let (number, members, voter) = (status.view, status.members.clone(), status.member);
-        self.elect(election::Event::View { number, members, voter });
-    }
-
     fn committed(&mut self, config: &chain::CommittedConfig) {
         let record = ConfigRecord { version: config.version, bytes: config.bytes.to_vec() };
         let before = self.tables.vector().config;
