--- a/crates/proxy/tests/terms_gone.rs
+++ b/crates/proxy/tests/terms_gone.rs
@@ -196,3 +196,20 @@
     })
     .await;
 }
+
+/// The client was gone before its connection was taken from the queue, as where a proxy is busy or stood still.
+#[rstest]
+#[tokio::test]
+async fn before_its_request_is_read(#[values("safe", "unsafe", "streaming")] kind: &str) {
+    use std::io::Write;
+    let setup = Setup { retry_budget: 10.0, ..setup(kind, r#","MaxAttempts":3"#) };
+    with_world(setup, async |world| {
+        // Without a wait in between, so that the proxy sees all of it at once.
+        let mut client = std::net::TcpStream::connect(world.front).expect("a connection");
+        client.write_all(request("r1", "", "body").as_bytes()).expect("a write");
+        drop(client);
+        tokio::time::pause();
+        nothing_comes(world, "a", "b").await;
+    })
+    .await;
+}
