Send nothing on for a client that has left before its request was read

Cause: whether the client is there was asked beside the request's service, and after it. A request that was read together with its client's close, as after a standstill or a long queue, was on its way to a server by then, an unsafe one too. Ruled out: the order of select! alone (a trial): the runtime had not heard of the end yet, though the socket had it. Change: one look at the socket before a request is served. Cost: one peek for each request.

--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -59,6 +59,11 @@
     let request = ClientRequest { head, body: body.unwrap_or_default(), has_body, arrived };
     let trace = RequestTrace::default();
     let _guard = TraceGuard::new(&trace, shared, &request);
+    // Its close may have come along with the request, as where this process was busy or stood still.
+    if intake.has_left() {
+        trace.finish(shared, &request, RequestOutcome::Left);
+        return Err(Stop::Gone);
+    }
     let mut reply = Reply::new(write, shared, &request.head, &trace);
     tokio::select! {
         biased;
--- a/crates/proxy/src/intake.rs
+++ b/crates/proxy/src/intake.rs
@@ -179,6 +179,12 @@
         }
     }
 
+    /// Whether the client's close has come, whether or not the runtime has heard of it. Where more bytes came before it, this is
+    /// not seen here but by [`Intake::left`].
+    pub fn has_left(&self) -> bool {
+        wire::is_ended(self.read.as_ref())
+    }
+
     /// Ends when the client leaves. What it sends meanwhile is kept for later, within bounds.
     pub async fn left(&mut self) {
         loop {
--- a/crates/proxy/src/wire/socket.rs
+++ b/crates/proxy/src/wire/socket.rs
@@ -40,6 +40,15 @@
     SockRef::from(socket).peek(&mut byte).is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
 }
 
+/// Is the connection's end, or a reset, the next thing to read?
+pub fn is_ended(socket: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit(); 1];
+    match SockRef::from(socket).peek(&mut byte) {
+        Ok(length) => length == 0,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
+}
+
 /// Reads what has come, whether or not the runtime has heard of it.
 pub fn read_now(socket: &TcpStream, bytes: &mut [u8]) -> io::Result<usize> {
     (&*SockRef::from(socket)).read(bytes)
