--- a/crates/emulator/src/cluster/addresses.rs
+++ b/crates/emulator/src/cluster/addresses.rs
@@ -8,6 +8,8 @@
 const MOST_MACHINES: u8 = 100;
 /// Between the address of a machine and the one behind its relay; no block has more machines of a kind with relays.
 const BEHIND: u8 = 50;
+/// Servers of a block: up to the host that claims it.
+const MOST_SERVERS: usize = 50;
 /// Blocks that are tried before giving up.
 const MOST_TRIES: u16 = 2_000;
 /// The host part and port of the socket that holds a block.
@@ -67,6 +69,11 @@
         self.host(MOST_MACHINES + 1 + BEHIND, index)
     }
 
+    /// A server beside the machines.
+    pub fn server(&self, index: usize) -> Ipv4Addr {
+        self.host(2 * MOST_MACHINES + 1, index % MOST_SERVERS)
+    }
+
     fn host(&self, first: u8, index: usize) -> Ipv4Addr {
         let index = u8::try_from(index).unwrap_or(MOST_MACHINES - 1).min(MOST_MACHINES - 1);
         address(self.octets, first + index)
--- a/crates/emulator/src/cluster/mod.rs
+++ b/crates/emulator/src/cluster/mod.rs
@@ -32,6 +32,8 @@
     pub const INTERNAL_LAST: u16 = 7_735;
     /// The agent's feed of its proxy.
     pub const FEED: u16 = 7_722;
+    /// A server, each at an address of its own.
+    pub const SERVER: u16 = 9_100;
     /// `GET /metrics` of the proxy, or of a control process.
     pub const METRICS: u16 = 7_733;
     /// `GET /metrics` of the agent.
@@ -132,6 +134,11 @@
         SocketAddr::from((self.subnet.control(index), ports::CONTROL))
     }
 
+    /// An address for a server, which nothing else of this box is given while the server is down.
+    pub fn server_address(&self, index: usize) -> SocketAddr {
+        SocketAddr::from((self.subnet.server(index), ports::SERVER))
+    }
+
     /// The address from which the processes of a control machine connect, and on which they listen.
     pub fn control_bound(&self, index: usize) -> Ipv4Addr {
         if self.options.relayed { self.subnet.control_behind(index) } else { self.subnet.control(index) }
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -54,7 +54,7 @@
             .chain(std::iter::repeat_n(Part::Plain, PLAIN))
             .chain([Part::Slow]);
         for part in parts {
-            let address: SocketAddr = ([127, 0, 0, 1], 0).into();
+            let address = self.cluster.server_address(self.servers.len());
             self.servers.push(Server { part, address, id: String::new(), running: None, incarnations: 0 });
             self.start_server(self.servers.len() - 1).await?;
         }
