--- a/crates/emulator/src/client.rs
+++ b/crates/emulator/src/client.rs
@@ -8,7 +8,7 @@
 pub use request::{ClientRequest, Kind};
 pub use retry::RetryPolicy;
 
-use crate::core::{ServerRequest, millis};
+use crate::core::millis;
 use crate::events::EventReader;
 use crate::names;
 use crate::wire::{Answer, Connection, Framing, WireError};
@@ -25,12 +25,14 @@
     address: SocketAddr,
     connection: Option<Connection>,
     connect_time: Duration,
+    /// Between the halves of what it sends; none where this is zero.
+    pause: Duration,
 }
 
 impl Client {
     /// A client of the front at that address; it connects when it sends.
     pub fn new(address: SocketAddr) -> Client {
-        Client { address, connection: None, connect_time: CONNECT_TIME }
+        Client { address, connection: None, connect_time: CONNECT_TIME, pause: Duration::ZERO }
     }
 
     /// The same with its own time for a new connection to come up, as where many come up at once on a busy machine.
@@ -38,6 +40,11 @@
         Client { connect_time, ..self }
     }
 
+    /// The same, sending slowly: a pause in the middle of each request.
+    pub fn with_pause(self, pause: Duration) -> Client {
+        Client { pause, ..self }
+    }
+
     /// Whether the connection of the last request is still open for another.
     pub fn is_connected(&self) -> bool {
         self.connection.is_some()
@@ -51,7 +58,7 @@
             Some(connection) => connection,
             None => return outcome,
         };
-        match timeout_at(until, exchange(&mut connection, request, &mut outcome)).await {
+        match timeout_at(until, exchange(&mut connection, request, self.pause, &mut outcome)).await {
             Err(_) => outcome.ending = Ending::TimedOut,
             Ok(Err(WireError::Malformed(_) | WireError::TooLong)) => {
                 outcome.ending = Ending::Malformed;
@@ -98,11 +105,15 @@
 }
 
 async fn exchange(
-    connection: &mut Connection, request: &ClientRequest, outcome: &mut Outcome,
+    connection: &mut Connection, request: &ClientRequest, pause: Duration, outcome: &mut Outcome,
 ) -> Result<(), WireError> {
-    let wire = request.to_wire();
-    outcome.content = ServerRequest::from(wire.clone()).content;
-    connection.write(&wire.encode()).await?;
+    let bytes = request.to_wire().encode();
+    let (first, second) = bytes.split_at(if pause.is_zero() { 0 } else { bytes.len() / 2 });
+    if !pause.is_zero() {
+        connection.write(first).await?;
+        tokio::time::sleep(pause).await;
+    }
+    connection.write(second).await?;
     let (head, mut framing): (Answer, Framing) = connection.read_answer_head().await?;
     outcome.status = Some(head.status);
     outcome.stamp = head.headers.get(names::SERVER_STAMP).and_then(|stamp| stamp.parse().ok());
--- a/crates/emulator/src/client/request.rs
+++ b/crates/emulator/src/client/request.rs
@@ -1,6 +1,7 @@
 //! What a client sends.
 
 use super::outcome::{Ending, Outcome};
+use crate::core::ServerRequest;
 use crate::names;
 use crate::wire::{Headers, Request};
 
@@ -87,10 +88,11 @@
         request
     }
 
-    pub(super) fn outcome(&self) -> Outcome {
+    /// What a client has that got nothing yet.
+    pub fn outcome(&self) -> Outcome {
         Outcome {
             request_id: self.request_id.clone(),
-            content: 0,
+            content: ServerRequest::from(self.to_wire()).content,
             host: self.host.clone(),
             target: self.target.clone(),
             idempotent: self.kind.is_idempotent(),
--- a/crates/emulator/src/cluster/addresses.rs
+++ b/crates/emulator/src/cluster/addresses.rs
@@ -6,6 +6,8 @@
 
 /// Machines of one kind in a block.
 const MOST_MACHINES: u8 = 100;
+/// Between the address of a machine and the one behind its relay; no block has more machines of a kind with relays.
+const BEHIND: u8 = 50;
 /// Blocks that are tried before giving up.
 const MOST_TRIES: u16 = 2_000;
 /// The host part and port of the socket that holds a block.
@@ -55,6 +57,16 @@
         self.host(MOST_MACHINES + 1, index)
     }
 
+    /// Where the processes of a control machine listen if others reach it through a relay.
+    pub fn control_behind(&self, index: usize) -> Ipv4Addr {
+        self.host(1 + BEHIND, index)
+    }
+
+    /// The same of a front.
+    pub fn front_behind(&self, index: usize) -> Ipv4Addr {
+        self.host(MOST_MACHINES + 1 + BEHIND, index)
+    }
+
     fn host(&self, first: u8, index: usize) -> Ipv4Addr {
         let index = u8::try_from(index).unwrap_or(MOST_MACHINES - 1).min(MOST_MACHINES - 1);
         address(self.octets, first + index)
--- a/crates/emulator/src/cluster/mod.rs
+++ b/crates/emulator/src/cluster/mod.rs
@@ -14,7 +14,7 @@
 use crate::wire::{Connection, Request};
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -63,6 +63,8 @@
     pub bounds: Vec<(String, String)>,
     /// Arguments of every process behind its subcommand.
     pub arguments: Vec<String>,
+    /// Whether machines are reached through relays: processes then listen on and connect from addresses of their own.
+    pub relayed: bool,
 }
 
 /// The machines and processes of a fleet. All processes end when it is dropped.
@@ -75,6 +77,8 @@
     first_start: bool,
     /// Control machines that count, the first ones; the others serve without a vote.
     counting: usize,
+    /// Whether somebody else has taken the violated invariants up.
+    are_violations_taken: bool,
 }
 
 impl Cluster {
@@ -89,7 +93,16 @@
         std::fs::create_dir_all(&folder)?;
         let binary = binary.to_owned();
         let (processes, counting) = (BTreeMap::new(), usize::MAX);
-        Ok(Cluster { binary, folder, subnet, options, processes, first_start: true, counting })
+        Ok(Cluster {
+            binary,
+            folder,
+            subnet,
+            options,
+            processes,
+            first_start: true,
+            counting,
+            are_violations_taken: false,
+        })
     }
 
     /// Lets only the first control machines count, from their next start on.
@@ -117,6 +130,23 @@
         SocketAddr::from((self.subnet.control(index), ports::CONTROL))
     }
 
+    /// The address from which the processes of a control machine connect, and on which they listen.
+    pub fn control_bound(&self, index: usize) -> Ipv4Addr {
+        if self.options.relayed { self.subnet.control_behind(index) } else { self.subnet.control(index) }
+    }
+
+    /// The address from which the agent of a front connects.
+    pub fn front_bound(&self, index: usize) -> Ipv4Addr {
+        if self.options.relayed { self.subnet.front_behind(index) } else { self.subnet.front(index) }
+    }
+
+    /// Where a process of a control machine listens, and where others reach it: the operator's API, peers, agents.
+    pub fn relayed_addresses(&self, index: usize) -> [(SocketAddr, SocketAddr); 3] {
+        let (public, bound) = (self.subnet.control(index), self.control_bound(index));
+        [ports::CONTROL, ports::INTERNAL_FIRST, ports::INTERNAL_FIRST + 1]
+            .map(|port| (SocketAddr::from((public, port)), SocketAddr::from((bound, port))))
+    }
+
     /// The ports of a control machine for internal traffic: peers, then agents.
     pub fn internal_addresses(&self, index: usize) -> [SocketAddr; 2] {
         [0, 1].map(|offset| SocketAddr::from((self.subnet.control(index), ports::INTERNAL_FIRST + offset)))
@@ -221,6 +251,24 @@
         self.folder.join(control_name(index)).join("data")
     }
 
+    /// Asks one process to end, as SIGTERM does.
+    pub fn terminate(&mut self, name: &str) -> io::Result<()> {
+        match self.processes.get_mut(name) {
+            Some(process) => process.signal(Signal::Terminate),
+            None => Ok(()),
+        }
+    }
+
+    /// The names of all processes that were started.
+    pub fn names(&self) -> Vec<String> {
+        self.processes.keys().cloned().collect()
+    }
+
+    /// The folder with the settings and the output of each process.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     /// The process of that name: `control-0`, `front-0-proxy`, `front-0-agent`.
     pub fn process(&mut self, name: &str) -> Option<&mut Process> {
         self.processes.get_mut(name)
@@ -228,14 +276,20 @@
 
     /// The metrics of both processes of a front, proxy first, or nothing of one that does not answer.
     pub async fn front_metrics(&self, index: usize) -> [Option<String>; 2] {
-        let ip = self.subnet.front(index);
+        let ip = self.front_bound(index);
         let proxy = metrics_text(SocketAddr::from((ip, ports::METRICS))).await;
         [proxy, metrics_text(SocketAddr::from((ip, ports::AGENT_METRICS))).await]
     }
 
     /// The metrics of a control process, if it answers.
     pub async fn control_metrics(&self, index: usize) -> Option<String> {
-        metrics_text(SocketAddr::from((self.subnet.control(index), ports::METRICS))).await
+        metrics_text(SocketAddr::from((self.control_bound(index), ports::METRICS))).await
+    }
+
+    /// Lines that tell of violated invariants, for a caller that judges them itself: the cluster then ends without a word.
+    pub fn take_violations(&mut self) -> Vec<String> {
+        self.are_violations_taken = true;
+        self.violations()
     }
 
     /// Lines that tell of violated invariants.
@@ -310,7 +364,8 @@
             machine_class: class::CORE,
             serves: vec!["control".to_owned()],
             ip: self.subnet.control(index).into(),
-            control: Some(self.control_address(index)),
+            bind: self.options.relayed.then(|| IpAddr::from(self.control_bound(index))),
+            control: Some(SocketAddr::from((self.control_bound(index), ports::CONTROL))),
             data_dir: Some(self.data_folder(index)),
             counts_for_quorum: index < self.counting,
             ..self.common_settings(control_name(index))
@@ -324,6 +379,7 @@
             machine_class: class::FRONT,
             serves: if is_proxy { vec!["front".to_owned()] } else { Vec::new() },
             ip: self.subnet.front(index).into(),
+            bind: self.options.relayed.then(|| IpAddr::from(self.front_bound(index))),
             front: is_proxy.then(|| self.front_address(index)),
             ready: is_proxy.then(|| self.ready_address(index)),
             feed_address: Some(SocketAddr::from((self.subnet.front(index), ports::FEED))),
@@ -338,7 +394,7 @@
         self.processes.clear();
         let _ = std::fs::remove_dir_all(&self.folder);
         // No test passes beside a violated invariant. One that fails already tells its own reason.
-        if !std::thread::panicking() {
+        if !std::thread::panicking() && !self.are_violations_taken {
             assert!(violations.is_empty(), "violated invariants: {violations:#?}");
         }
     }
--- a/crates/emulator/src/cluster/process.rs
+++ b/crates/emulator/src/cluster/process.rs
@@ -65,6 +65,11 @@
         if status.success() { Ok(()) } else { Err(io::Error::other("the signal was not sent")) }
     }
 
+    /// Its id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits for its end.
     pub fn wait(&mut self) -> io::Result<ExitStatus> {
         self.child.wait()
--- a/crates/emulator/src/cluster/settings_file.rs
+++ b/crates/emulator/src/cluster/settings_file.rs
@@ -27,6 +27,8 @@
     pub serves: Vec<String>,
     /// The address of the machine.
     pub ip: IpAddr,
+    /// The address that the process listens on and connects from, if others reach it under `ip` through a relay.
+    pub bind: Option<IpAddr>,
     /// Control addresses of some machines.
     pub seeds: Vec<SocketAddr>,
     /// Whether this is the first start of all.
@@ -59,6 +61,7 @@
             machine_class: class::FRONT,
             serves: Vec::new(),
             ip: Ipv4Addr::LOCALHOST.into(),
+            bind: None,
             seeds: Vec::new(),
             bootstrap: false,
             counts_for_quorum: false,
@@ -109,6 +112,9 @@
         writeln!(out, "MachineClass = {:?}", self.machine_class)?;
         writeln!(out, "Serves = {:?}", self.serves)?;
         writeln!(out, "Ip = \"{}\"", self.ip)?;
+        if let Some(bind) = self.bind {
+            writeln!(out, "Bind = \"{bind}\"")?;
+        }
         writeln!(out, "Zone = \"zone-a\"\nRegion = \"region-a\"")?;
         writeln!(out, "PortRange = [{}, {}]", ports::INTERNAL_FIRST, ports::INTERNAL_LAST)?;
         let seeds: Vec<String> = self.seeds.iter().map(SocketAddr::to_string).collect();
--- a/crates/lugwharf/tests/support/mod.rs
+++ b/crates/lugwharf/tests/support/mod.rs
@@ -97,6 +97,7 @@
             cloud: platform.address(),
             bounds: Vec::new(),
             arguments: ["--log", "info"].map(str::to_owned).to_vec(),
+            relayed: false,
         };
         let binary = Path::new(env!("CARGO_BIN_EXE_lugwharf"));
         let cluster = Cluster::new(binary, subnet, options).expect("a cluster");
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -118,7 +118,7 @@
     local.spawn_local(ready::listen(shared.clone(), ready));
     local.spawn_local(sweep(shared.clone()));
     if let Some(port) = options.metrics_port
-        && let Some(endpoint) = MetricsEndpoint::listen(SocketAddr::new(settings.ip, port)).await
+        && let Some(endpoint) = MetricsEndpoint::listen(SocketAddr::new(settings.listen_ip(), port)).await
     {
         local.spawn_local(figures::serve(shared.clone(), clients.clone(), endpoint));
     }
--- /dev/null
+++ b/crates/soak/src/fleet.rs
@@ -0,0 +1,383 @@
+//! The processes of one run, the relays between them, the servers and the platform.
+
+use crate::relay::{Links, Relay};
+use crate::schedule::Scenario;
+use eyre::{Result, WrapErr, ensure};
+use lugwharf_emulator::cluster::{Cluster, ClusterOptions, Signal, Subnet};
+use lugwharf_emulator::configuration::{ConfigurationSpec, EngineSpec, RouteSpec, ServiceSpec};
+use lugwharf_emulator::core::{Identity, ServerEvent};
+use lugwharf_emulator::fault::{Fault, Matcher, Reach};
+use lugwharf_emulator::host::{Host, HostOptions, World};
+use lugwharf_emulator::model_server::{ModelParameters, ModelServer, Stage};
+use lugwharf_emulator::operator::Operator;
+use lugwharf_emulator::plain_server::{PlainParameters, PlainServer};
+use lugwharf_emulator::platform::{Listed, PlatformHost, PlatformParameters};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// The host of all routes.
+pub const HOST: &str = "shop.example";
+/// The service of generations.
+pub const MODEL_SERVICE: &str = "tutor";
+/// The service of other requests.
+pub const PLAIN_SERVICE: &str = "board";
+/// The zone of all servers.
+const ZONE: &str = "zone-a";
+/// Control machines at most, those included that replace others.
+const MOST_CONTROLS: usize = 8;
+/// Servers by what they are at the start.
+const READERS: usize = 2;
+const MAKERS: usize = 3;
+const PLAIN: usize = 3;
+
+/// What a server is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Part {
+    Model(Stage),
+    Plain,
+}
+
+enum Running {
+    Model(Host<ModelServer>),
+    Plain(Host<PlainServer>),
+}
+
+/// One server with the address that its successors take over.
+pub struct Server {
+    part: Part,
+    address: SocketAddr,
+    /// The id of the incarnation that runs, or ran last.
+    pub id: String,
+    running: Option<Running>,
+    incarnations: u32,
+}
+
+/// All of one run.
+pub struct Fleet {
+    /// The clock and the record of the servers.
+    pub world: World,
+    /// The list of servers.
+    pub platform: PlatformHost,
+    /// The links between machines.
+    pub links: Links,
+    /// The processes.
+    pub cluster: Cluster,
+    /// The servers.
+    pub servers: Vec<Server>,
+    /// Control machines that are in use.
+    pub controls: Vec<usize>,
+    /// How many troubles keep a process from running.
+    held: BTreeMap<String, usize>,
+    /// How many troubles keep a process from going on.
+    frozen: BTreeMap<String, usize>,
+    /// Processes that ended for good.
+    pub retired: BTreeSet<String>,
+    next_control: usize,
+    _relays: Vec<Relay>,
+}
+
+/// A process of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unit {
+    /// A control process.
+    Control(usize),
+    /// The proxy of a front.
+    Proxy(usize),
+    /// The agent of a front.
+    Agent(usize),
+}
+
+impl Unit {
+    /// The name of its process in the cluster.
+    pub fn name(self) -> String {
+        match self {
+            Unit::Control(index) => format!("control-{index}"),
+            Unit::Proxy(index) => format!("front-{index}-proxy"),
+            Unit::Agent(index) => format!("front-{index}-agent"),
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts everything and waits until it serves.
+    pub async fn start(scenario: &Scenario, binary: &Path) -> Result<Fleet> {
+        let world = World::new();
+        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let platform = PlatformHost::start(&world, any, PlatformParameters::default()).await?;
+        let options = ClusterOptions {
+            fronts: scenario.fronts,
+            controls: scenario.controls,
+            tolerated: if scenario.controls > 3 { 2 } else { 1 },
+            cloud: platform.address(),
+            bounds: Vec::new(),
+            arguments: ["--log", "info"].map(str::to_owned).to_vec(),
+            relayed: true,
+        };
+        let cluster = Cluster::new(binary, Subnet::claim()?, options)?;
+        let links = Links::default();
+        let mut relays = Vec::new();
+        for index in 0..MOST_CONTROLS {
+            for (public, bound) in cluster.relayed_addresses(index) {
+                relays.push(Relay::start(&links, public, bound).await.wrap_err("a relay")?);
+            }
+        }
+        let mut fleet = Fleet {
+            world,
+            platform,
+            links,
+            cluster,
+            servers: Vec::new(),
+            controls: (0..scenario.controls).collect(),
+            held: BTreeMap::new(),
+            frozen: BTreeMap::new(),
+            retired: BTreeSet::new(),
+            next_control: scenario.controls,
+            _relays: relays,
+        };
+        fleet.start_servers().await?;
+        fleet.cluster.start_all()?;
+        Ok(fleet)
+    }
+
+    /// Sends the first configuration and waits until all fronts are ready.
+    pub async fn open(&self) -> Result<()> {
+        let verdict = self.operator().put(&configuration(1).to_bytes(), 0).await;
+        ensure!(verdict.status() == Some(200), "the first configuration: {verdict:?}");
+        ensure!(self.cluster.wait_ready().await, "a front is not ready");
+        Ok(())
+    }
+
+    /// An operator who knows the control machines in use.
+    pub fn operator(&self) -> Operator {
+        Operator::new(self.controls.iter().map(|index| self.cluster.control_address(*index)).collect())
+    }
+
+    /// The control machine in use that a trouble's number stands for.
+    pub fn control(&self, target: usize) -> usize {
+        self.controls[target % self.controls.len()]
+    }
+
+    /// The name of each process in use.
+    pub fn units(&self, fronts: usize) -> Vec<Unit> {
+        let controls = self.controls.iter().map(|index| Unit::Control(*index));
+        controls.chain((0..fronts).flat_map(|front| [Unit::Proxy(front), Unit::Agent(front)])).collect()
+    }
+
+    /// Whether some trouble keeps the process from running or going on.
+    pub fn is_troubled(&self, name: &str) -> bool {
+        let counts = |table: &BTreeMap<String, usize>| table.get(name).is_some_and(|count| *count > 0);
+        counts(&self.held) || counts(&self.frozen) || self.retired.contains(name)
+    }
+
+    /// Ends a process as a kill does, until it is released.
+    pub fn kill(&mut self, unit: Unit) -> Result<()> {
+        *self.held.entry(unit.name()).or_default() += 1;
+        if let Some(process) = self.cluster.process(&unit.name()) {
+            process.signal(Signal::Kill)?;
+            process.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Asks a process to end, until it is released.
+    pub fn terminate(&mut self, unit: Unit) -> Result<()> {
+        *self.held.entry(unit.name()).or_default() += 1;
+        Ok(self.cluster.terminate(&unit.name())?)
+    }
+
+    /// Whether a process that was asked to end has ended.
+    pub fn has_ended(&mut self, unit: Unit) -> bool {
+        self.cluster.process(&unit.name()).is_none_or(|process| process.ended().is_some())
+    }
+
+    /// One trouble less keeps the process from running; it starts again once none does.
+    pub fn release(&mut self, unit: Unit) -> Result<()> {
+        let count = self.held.entry(unit.name()).or_default();
+        *count = count.saturating_sub(1);
+        let may_start = *count == 0 && !self.retired.contains(&unit.name());
+        if !may_start || !self.has_ended(unit) {
+            return Ok(());
+        }
+        match unit {
+            Unit::Control(index) => self.cluster.start_control(index)?,
+            Unit::Proxy(front) => self.cluster.start_front_process(front, "proxy")?,
+            Unit::Agent(front) => self.cluster.start_front_process(front, "agent")?,
+        }
+        Ok(())
+    }
+
+    /// Lets a process stand still.
+    pub fn freeze(&mut self, unit: Unit) -> Result<()> {
+        *self.frozen.entry(unit.name()).or_default() += 1;
+        self.signal(unit, Signal::Freeze)
+    }
+
+    /// One trouble less lets the process stand still.
+    pub fn thaw(&mut self, unit: Unit) -> Result<()> {
+        let count = self.frozen.entry(unit.name()).or_default();
+        *count = count.saturating_sub(1);
+        if *count == 0 { self.signal(unit, Signal::Thaw) } else { Ok(()) }
+    }
+
+    /// Sends a signal.
+    pub fn signal(&mut self, unit: Unit, signal: Signal) -> Result<()> {
+        if let Some(process) = self.cluster.process(&unit.name()) {
+            process.signal(signal)?;
+        }
+        Ok(())
+    }
+
+    /// Adds an empty control machine.
+    pub fn add_control(&mut self) -> Result<Option<usize>> {
+        if self.next_control >= MOST_CONTROLS {
+            return Ok(None);
+        }
+        let index = self.next_control;
+        self.next_control += 1;
+        self.cluster.start_control(index)?;
+        Ok(Some(index))
+    }
+
+    /// A control machine takes the place of another one, which was asked to end for good.
+    pub fn replace_control(&mut self, old: usize, new: usize) {
+        self.retired.insert(Unit::Control(old).name());
+        self.controls.retain(|index| *index != old);
+        self.controls.push(new);
+    }
+
+    async fn start_servers(&mut self) -> Result<()> {
+        let parts = std::iter::repeat_n(Part::Model(Stage::Prefill), READERS)
+            .chain(std::iter::repeat_n(Part::Model(Stage::Decode), MAKERS))
+            .chain(std::iter::repeat_n(Part::Plain, PLAIN));
+        for part in parts {
+            let address: SocketAddr = ([127, 0, 0, 1], 0).into();
+            self.servers.push(Server { part, address, id: String::new(), running: None, incarnations: 0 });
+            self.start_server(self.servers.len() - 1).await?;
+        }
+        Ok(())
+    }
+
+    /// Starts another incarnation at the address of a server, and lists it.
+    pub async fn start_server(&mut self, index: usize) -> Result<()> {
+        let server = &mut self.servers[index];
+        if server.running.is_some() {
+            return Ok(());
+        }
+        server.incarnations += 1;
+        server.id = format!("i-{index}-{}", server.incarnations);
+        let (world, options) = (&self.world, HostOptions::default());
+        let (running, listed) = match server.part {
+            Part::Model(stage) => {
+                let parameters = ModelParameters::quick(stage);
+                let slots = u32::try_from(parameters.slots)?;
+                let mut identity = Identity::new(&server.id, MODEL_SERVICE);
+                identity.place.zone = ZONE.to_owned();
+                let core = ModelServer::new(identity, parameters);
+                let host = Host::start(world, server.address, core, options).await?;
+                server.address = host.address();
+                let listed = Listed::plain(&server.id, MODEL_SERVICE, server.address, ZONE, slots);
+                (Running::Model(host), listed.staged(stage, "m", 1))
+            }
+            Part::Plain => {
+                let core =
+                    PlainServer::new(Identity::new(&server.id, PLAIN_SERVICE), PlainParameters::default());
+                let host = Host::start(world, server.address, core, options).await?;
+                server.address = host.address();
+                let listed = Listed::plain(&server.id, PLAIN_SERVICE, server.address, ZONE, 6);
+                (Running::Plain(host), listed)
+            }
+        };
+        server.running = Some(running);
+        self.platform.put(listed);
+        Ok(())
+    }
+
+    /// Ends a server as a crash does. The platform notices.
+    pub async fn crash_server(&mut self, index: usize) {
+        let server = &mut self.servers[index];
+        match server.running.take() {
+            Some(Running::Model(host)) => drop(host.crash().await),
+            Some(Running::Plain(host)) => drop(host.crash().await),
+            None => return,
+        }
+        self.platform.remove(&server.id);
+    }
+
+    /// Tells the platform that a server is to end.
+    pub fn drain_server(&mut self, index: usize) {
+        if self.servers[index].running.is_some() {
+            self.platform.drain(&self.servers[index].id);
+        }
+    }
+
+    /// Changes whether a server can be reached.
+    pub fn reach_server(&mut self, index: usize, reach: Reach) {
+        match &self.servers[index].running {
+            Some(Running::Model(host)) => host.set_reach(reach),
+            Some(Running::Plain(host)) => host.set_reach(reach),
+            None => {}
+        }
+    }
+
+    /// Lets runs at a server fail, or no longer.
+    pub fn fail_server(&mut self, index: usize, failing: bool) {
+        let event = ServerEvent::SetFailing(failing);
+        match &self.servers[index].running {
+            Some(Running::Model(host)) => host.tell(event),
+            Some(Running::Plain(host)) => host.tell(event),
+            None => {}
+        }
+    }
+
+    /// Adds a fault at all servers, for so many requests each.
+    pub fn inject(&self, fault: &Fault, times: usize) {
+        for server in &self.servers {
+            match &server.running {
+                Some(Running::Model(host)) => host.inject(Matcher::any(), fault.clone(), times),
+                Some(Running::Plain(host)) => host.inject(Matcher::any(), fault.clone(), times),
+                None => {}
+            }
+        }
+    }
+
+    /// Forgets all faults of servers that were not used.
+    pub fn clear_faults(&self) {
+        for server in &self.servers {
+            match &server.running {
+                Some(Running::Model(host)) => host.clear_faults(),
+                Some(Running::Plain(host)) => host.clear_faults(),
+                None => {}
+            }
+        }
+    }
+
+    /// Lets the list show the stage that each model server has.
+    pub fn list_stages(&self) {
+        for server in &self.servers {
+            if let Some(Running::Model(host)) = &server.running {
+                let stage = host.with_core(|core| core.stage()).word().to_owned();
+                self.platform.change(&server.id, |entry| entry.stage = Some(stage));
+            }
+        }
+    }
+}
+
+/// The configuration of a version: the routes of all clients, and one that tells it from others.
+pub fn configuration(version: u64) -> ConfigurationSpec {
+    let engine = EngineSpec::from(&ModelParameters::quick(Stage::Decode));
+    ConfigurationSpec::new(version)
+        .service(ServiceSpec::new(MODEL_SERVICE, Some(engine)))
+        .service(ServiceSpec::new(PLAIN_SERVICE, None))
+        .route(RouteSpec::new(HOST, "/gen/", "streaming", MODEL_SERVICE))
+        .route(RouteSpec::new(HOST, "/work/", "unsafe", PLAIN_SERVICE))
+        .route(RouteSpec::new(HOST, "/read/", "safe", PLAIN_SERVICE))
+        .route(RouteSpec { resumable: true, ..RouteSpec::new(HOST, "/resume/", "streaming", MODEL_SERVICE) })
+        .route(RouteSpec::new(HOST, &format!("/only-{version}/"), "safe", PLAIN_SERVICE))
+}
+
+/// The version that a configuration's bytes bear.
+pub fn version_of(bytes: &[u8]) -> Option<u64> {
+    let value: serde_json::Value = serde_json::from_slice(bytes).ok()?;
+    value["Version"].as_u64()
+}
--- /dev/null
+++ b/crates/soak/src/heal.rs
@@ -0,0 +1,112 @@
+//! What has to be well again once all troubles are over.
+
+use crate::fleet::{Fleet, configuration};
+use crate::judge::Finding;
+use crate::operators::{Book, Put};
+use lugwharf_emulator::cluster::ready_status;
+use serde_json::Value;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// `RecoveryS` of the fleet's settings, with the `CatchUpS` of a machine that has just come back.
+pub const RECOVERY: Duration = Duration::from_secs(16);
+/// `ConfigMs` of the fleet's settings.
+const CONFIG: Duration = Duration::from_millis(2_000);
+/// Between two looks.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Waits until the fleet is well; tells what is not if it takes longer than [`RECOVERY`].
+pub async fn heal(fleet: &Fleet, fronts: usize) -> Vec<Finding> {
+    let by = Instant::now() + RECOVERY;
+    loop {
+        let ailments = ailments(fleet, fronts).await;
+        if ailments.is_empty() {
+            return Vec::new();
+        }
+        if Instant::now() >= by {
+            let all = |facts: String| Finding { rule: "not_healed", facts };
+            return ailments.into_iter().map(all).collect();
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+async fn ailments(fleet: &Fleet, fronts: usize) -> Vec<String> {
+    let mut found = Vec::new();
+    let mut views = BTreeSet::new();
+    let mut holders = BTreeSet::new();
+    for index in &fleet.controls {
+        let Some(status) = fleet.cluster.control_status(*index).await else {
+            found.push(format!("control-{index} does not answer"));
+            continue;
+        };
+        for flag in ["Serving", "InTouch", "DiskWell", "Member"] {
+            if status[flag] != Value::Bool(true) {
+                found.push(format!("control-{index}: {flag} is {}", status[flag]));
+            }
+        }
+        views.insert(status["View"].to_string());
+        holders.insert(status["Roles"][0]["Holder"].to_string());
+        let chain = status["Chain"].as_array().map_or(0, Vec::len);
+        if chain != fleet.controls.len() {
+            found.push(format!("control-{index}: a chain of {chain}"));
+        }
+    }
+    if views.len() > 1 {
+        found.push(format!("views {views:?}"));
+    }
+    if holders.len() != 1 || holders.contains("null") {
+        found.push(format!("list reader {holders:?}"));
+    }
+    for front in 0..fronts {
+        if ready_status(fleet.cluster.ready_address(front)).await != Some(200) {
+            found.push(format!("front-{front} is not ready"));
+        }
+    }
+    found
+}
+
+/// Sends one more change, which has to be acknowledged and to reach every front in time. `version` is above all that were
+/// sent.
+pub async fn change_once_more(fleet: &Fleet, fronts: usize, version: u64, book: &Book) -> Vec<Finding> {
+    let find = |facts: String| vec![Finding { rule: "not_healed", facts }];
+    let operator = fleet.operator();
+    let newest = operator.get().await;
+    let Some(base) = crate::fleet::version_of(newest.body()) else {
+        return find(format!("no configuration is read back: {newest:?}"));
+    };
+    let (began, bytes) = (fleet.world.now(), configuration(version).to_bytes());
+    let verdict = operator.put(&bytes, base).await;
+    book.note_put(Put {
+        version,
+        base,
+        bytes: bytes.into(),
+        is_valid: true,
+        began,
+        ended: fleet.world.now(),
+        verdict: verdict.clone(),
+        is_resend: false,
+    });
+    if verdict.status() != Some(200) {
+        return find(format!("version {version} on {base}: {verdict:?}"));
+    }
+    let by = Instant::now() + CONFIG;
+    let wanted = format!("lugwharf_proxy_config_version {version}");
+    let mut behind: Vec<usize> = (0..fronts).collect();
+    while !behind.is_empty() {
+        let mut late = Vec::new();
+        for front in behind {
+            let text = fleet.cluster.front_metrics(front).await.into_iter().next().flatten();
+            if !text.is_some_and(|text| text.lines().any(|line| line == wanted)) {
+                late.push(front);
+            }
+        }
+        behind = late;
+        if Instant::now() >= by && !behind.is_empty() {
+            return find(format!("fronts {behind:?} lack version {version}"));
+        }
+        tokio::time::sleep(LOOK / 4).await;
+    }
+    Vec::new()
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,37 @@
+//! A soak of real `lugwharf` processes on loopback: clients, operators and servers of the emulator, troubles drawn from a
+//! seed, and a judgement that rests on what the rig saw, not on what the program says.
+//!
+//! | module | job |
+//! | --- | --- |
+//! | `schedule` | draws the troubles of a seed, and when each begins and ends |
+//! | `relay` | links between machines that can be cut, reset and slowed, one direction at a time |
+//! | `fleet` | the processes, the relays between them, the servers and the platform |
+//! | `trouble` | begins and ends one trouble |
+//! | `traffic` | clients, some of which misbehave |
+//! | `operators` | configurations sent, raced and read back, and what was told about them |
+//! | `watch` | metrics and ends of the processes while the soak runs |
+//! | `heal` | what has to be well again once all troubles are over |
+//! | `judge` | what is wrong, by the rig's own records |
+//! | `report` | the folder of a failing seed, and the summary |
+#![forbid(unsafe_code)]
+
+mod fleet;
+mod heal;
+mod judge;
+mod operators;
+mod relay;
+#[cfg(test)]
+mod relay_tests;
+mod report;
+mod run;
+mod schedule;
+#[cfg(test)]
+mod schedule_tests;
+mod traffic;
+mod trouble;
+mod watch;
+
+pub use judge::Finding;
+pub use report::{Summary, write_folder};
+pub use run::{Outcome, run};
+pub use schedule::{Kind, Overlap, Scenario, Schedule, Trouble};
--- /dev/null
+++ b/crates/soak/src/traffic.rs
@@ -0,0 +1,178 @@
+//! Clients of the fleet, some of which misbehave.
+
+use crate::fleet::HOST;
+use lugwharf_emulator::client::{Client, ClientRequest, Ending, Kind, Outcome};
+use lugwharf_emulator::host::World;
+use lugwharf_emulator::wire::Connection;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// Clients that send one request after the other.
+const STEADY: usize = 6;
+/// Their pause between two requests, in ms.
+const PAUSE_MS: std::ops::Range<u64> = 5..60;
+/// Requests on one connection at most.
+const KEPT: u32 = 20;
+
+/// How a client behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    /// It sends, and waits for the answer.
+    Steady,
+    /// It leaves before the answer.
+    Leaving,
+    /// It sends the second half later.
+    Slow,
+    /// It leaves in the middle of what it sends.
+    Stopping,
+}
+
+/// One request of a client.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// The front that it was sent to.
+    pub front: usize,
+    /// How the client behaved.
+    pub behaviour: Behaviour,
+    /// Whether the connection had carried a request before.
+    pub is_kept: bool,
+    /// When it was sent.
+    pub began: Duration,
+    /// When the client had its answer, or left.
+    pub ended: Duration,
+    /// What the client got.
+    pub outcome: Outcome,
+}
+
+#[derive(Clone)]
+struct Shared {
+    world: World,
+    fronts: Vec<SocketAddr>,
+    attempts: Arc<Mutex<Vec<Attempt>>>,
+    ids: Arc<AtomicU64>,
+    stop: watch::Receiver<bool>,
+}
+
+/// The clients of one run.
+pub struct Traffic {
+    attempts: Arc<Mutex<Vec<Attempt>>>,
+    stop: watch::Sender<bool>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl Traffic {
+    /// Starts them.
+    pub fn start(world: &World, fronts: Vec<SocketAddr>, seed: u64) -> Traffic {
+        let stop = watch::Sender::new(false);
+        let shared = Shared {
+            world: world.clone(),
+            fronts,
+            attempts: Arc::default(),
+            ids: Arc::new(AtomicU64::new(1)),
+            stop: stop.subscribe(),
+        };
+        let behaviours = std::iter::repeat_n(Behaviour::Steady, STEADY).chain([
+            Behaviour::Leaving,
+            Behaviour::Slow,
+            Behaviour::Stopping,
+        ]);
+        let tasks = behaviours.enumerate().map(|(number, behaviour)| {
+            let rng = fastrand::Rng::with_seed(seed ^ (0xc0 + number as u64));
+            tokio::spawn(work(shared.clone(), behaviour, rng))
+        });
+        let tasks = tasks.collect();
+        Traffic { attempts: shared.attempts, stop, tasks }
+    }
+
+    /// Lets all clients finish, and returns what they got.
+    pub async fn finish(self) -> Vec<Attempt> {
+        self.stop.send_replace(true);
+        for task in self.tasks {
+            // A client that panicked has nothing more to record.
+            let _ = task.await;
+        }
+        self.attempts.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+async fn work(shared: Shared, behaviour: Behaviour, mut rng: fastrand::Rng) {
+    while !*shared.stop.borrow() {
+        let front = rng.usize(..shared.fronts.len());
+        let mut client = Client::new(shared.fronts[front]);
+        if behaviour == Behaviour::Slow {
+            client = client.with_pause(Duration::from_millis(rng.u64(5..250)));
+        }
+        for _ in 0..rng.u32(1..=KEPT) {
+            if *shared.stop.borrow() {
+                return;
+            }
+            let is_open = one(&shared, behaviour, front, &mut client, &mut rng).await;
+            tokio::time::sleep(Duration::from_millis(rng.u64(PAUSE_MS))).await;
+            if !is_open {
+                break;
+            }
+        }
+    }
+}
+
+/// One request; whether the connection is open for another.
+async fn one(
+    shared: &Shared, behaviour: Behaviour, front: usize, client: &mut Client, rng: &mut fastrand::Rng,
+) -> bool {
+    let request = draw(shared, rng);
+    let (is_kept, began) = (client.is_connected(), shared.world.now());
+    let outcome = match behaviour {
+        Behaviour::Steady | Behaviour::Slow => client.send(&request).await,
+        Behaviour::Leaving => {
+            let stay = Duration::from_millis(rng.u64(1..60));
+            let sent = timeout(stay, client.send(&request)).await.ok();
+            // Dropping the client is its leaving.
+            let address = shared.fronts[front];
+            if sent.is_none() {
+                *client = Client::new(address);
+            }
+            sent.unwrap_or_else(|| Outcome { ending: Ending::TimedOut, ..request.outcome() })
+        }
+        Behaviour::Stopping => stop_midway(shared.fronts[front], &request, rng).await,
+    };
+    let ended = shared.world.now();
+    let attempt = Attempt { front, behaviour, is_kept, began, ended, outcome };
+    shared.attempts.lock().unwrap_or_else(PoisonError::into_inner).push(attempt);
+    client.is_connected()
+}
+
+/// Sends a part of a request and closes the connection.
+async fn stop_midway(front: SocketAddr, request: &ClientRequest, rng: &mut fastrand::Rng) -> Outcome {
+    let mut outcome = request.outcome();
+    let Ok(mut connection) = Connection::open(front).await else { return outcome };
+    outcome.ending = Ending::Cut;
+    let bytes = request.to_wire().encode();
+    // Without its last byte it is no request.
+    let length = rng.usize(1..bytes.len());
+    if connection.write(&bytes[..length]).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(rng.u64(0..40))).await;
+    }
+    connection.close().await;
+    outcome
+}
+
+fn draw(shared: &Shared, rng: &mut fastrand::Rng) -> ClientRequest {
+    let number = shared.ids.fetch_add(1, Ordering::Relaxed);
+    let id = format!("{:016x}", 0x50a4_0000_0000_0000_u64 + number);
+    let out_tokens = rng.u64(1..80);
+    // Few parts of prompts are shared, so that some are read already.
+    let parts = [(rng.u64(..20), 2_000), (0x1_0000 + number, 2_000)];
+    match rng.u32(..8) {
+        0..=2 => ClientRequest::post(&id, HOST, "/work/1", Kind::Unsafe),
+        3 => ClientRequest::post(&id, HOST, "/read/1", Kind::Safe),
+        4 | 5 => ClientRequest::generation(&id, HOST, "/gen/1", (5_000, out_tokens), &parts),
+        _ => {
+            let request = ClientRequest::generation(&id, HOST, "/resume/1", (5_000, out_tokens), &parts);
+            ClientRequest { kind: Kind::ResumableStream, ..request }
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/trouble.rs
@@ -0,0 +1,215 @@
+//! Begins and ends one trouble.
+
+use crate::fleet::{Fleet, Unit};
+use crate::operators::Wish;
+use crate::relay::{Link, LinkState};
+use crate::schedule::{Kind, Trouble};
+use eyre::Result;
+use lugwharf_emulator::cluster::Signal;
+use lugwharf_emulator::fault::{Fault, Reach};
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// Requests at each server that meet a fault.
+const FAULTS_EACH: usize = 3;
+
+/// A trouble that has begun, with what it was drawn for at that moment.
+#[derive(Clone, Debug)]
+pub struct Active {
+    /// The trouble.
+    pub trouble: Trouble,
+    /// The control machine that it is for, and another one.
+    control: usize,
+    other: usize,
+    front: usize,
+    server: usize,
+    /// All control machines as it began.
+    controls: Vec<usize>,
+    /// The machine that was added.
+    added: Option<usize>,
+}
+
+/// Whether a trouble is over, or has to be looked at again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It is over.
+    Over,
+    /// A process that was asked to end still runs.
+    Again,
+}
+
+impl Active {
+    /// What the trouble is for, as things stand.
+    pub fn new(fleet: &Fleet, trouble: &Trouble, fronts: usize) -> Active {
+        let control = fleet.control(trouble.target);
+        let others: Vec<usize> = fleet.controls.iter().copied().filter(|index| *index != control).collect();
+        Active {
+            trouble: trouble.clone(),
+            control,
+            other: others[trouble.other % others.len()],
+            front: trouble.target % fronts,
+            server: trouble.target % fleet.servers.len(),
+            controls: fleet.controls.clone(),
+            added: None,
+        }
+    }
+
+    /// Begins it. What it does to links is applied by [`apply_links`].
+    pub async fn begin(
+        &mut self, fleet: &mut Fleet, fronts: usize, wishes: &UnboundedSender<Wish>,
+    ) -> Result<()> {
+        let control = Unit::Control(self.control);
+        match self.trouble.kind {
+            Kind::ControlKill => fleet.kill(control)?,
+            Kind::ControlTerm => fleet.terminate(control)?,
+            Kind::ControlFreeze => fleet.freeze(control)?,
+            Kind::ControlWipe => {
+                fleet.kill(control)?;
+                fleet.cluster.wipe_control(self.control)?;
+            }
+            Kind::ControlHerd => {
+                self.controls.iter().try_for_each(|index| fleet.kill(Unit::Control(*index)))?;
+            }
+            Kind::ControlReplace => self.added = fleet.add_control()?,
+            Kind::ProxyKill => fleet.kill(Unit::Proxy(self.front))?,
+            Kind::AgentKill => fleet.kill(Unit::Agent(self.front))?,
+            Kind::FrontTerm => {
+                self.front_units().into_iter().try_for_each(|unit| fleet.terminate(unit))?;
+            }
+            Kind::FrontFreeze => {
+                self.front_units().into_iter().try_for_each(|unit| fleet.freeze(unit))?;
+            }
+            Kind::Reload => {
+                fleet.units(fronts).into_iter().try_for_each(|unit| fleet.signal(unit, Signal::Reload))?;
+            }
+            Kind::PlatformDark => fleet.platform.set_reach(Reach::Dark),
+            Kind::PlatformReset => fleet.platform.set_reach(Reach::Refusing),
+            Kind::ServerCrash => fleet.crash_server(self.server).await,
+            Kind::ServerDrain => fleet.drain_server(self.server),
+            Kind::ServerDark => fleet.reach_server(self.server, Reach::Dark),
+            Kind::ServerFailing => fleet.fail_server(self.server, true),
+            Kind::AnswersLost => fleet.inject(&Fault::LoseAnswer, FAULTS_EACH),
+            Kind::AnswersGarbled => fleet.inject(&Fault::Garbage, FAULTS_EACH),
+            Kind::AnswersSurplus => {
+                fleet.inject(&Fault::SurplusAnswer, FAULTS_EACH);
+                fleet.inject(&Fault::WrongId, 1);
+            }
+            Kind::StreamsCut => fleet.inject(&Fault::CutStream { after_events: 1, reset: true }, FAULTS_EACH),
+            // Operators that have stopped wish for nothing more.
+            Kind::ConfigRace => drop(wishes.send(Wish::Race)),
+            Kind::ConfigBurst => drop(wishes.send(Wish::Burst)),
+            Kind::PairSilent
+            | Kind::PairReset
+            | Kind::PairOneWay
+            | Kind::PairSlow
+            | Kind::Halves
+            | Kind::Mute
+            | Kind::AgentSilent
+            | Kind::AgentDeaf
+            | Kind::AgentReset => {}
+        }
+        Ok(())
+    }
+
+    /// Ends it. `is_last` tells whether no other trouble of its kind goes on at the same place.
+    pub async fn end(&mut self, fleet: &mut Fleet) -> Result<End> {
+        let control = Unit::Control(self.control);
+        match self.trouble.kind {
+            Kind::ControlKill | Kind::ControlWipe => fleet.release(control)?,
+            Kind::ControlTerm => return restart(fleet, &[control]),
+            Kind::ControlFreeze => fleet.thaw(control)?,
+            Kind::ControlHerd => {
+                self.controls.iter().try_for_each(|index| fleet.release(Unit::Control(*index)))?;
+            }
+            Kind::ControlReplace => {
+                if let Some(added) = self.added.take() {
+                    fleet.cluster.terminate(&control.name())?;
+                    fleet.replace_control(self.control, added);
+                }
+            }
+            Kind::ProxyKill => fleet.release(Unit::Proxy(self.front))?,
+            Kind::AgentKill => fleet.release(Unit::Agent(self.front))?,
+            Kind::FrontTerm => return restart(fleet, &self.front_units()),
+            Kind::FrontFreeze => {
+                self.front_units().into_iter().try_for_each(|unit| fleet.thaw(unit))?;
+            }
+            Kind::PlatformDark | Kind::PlatformReset => fleet.platform.set_reach(Reach::Open),
+            Kind::ServerCrash => fleet.start_server(self.server).await?,
+            Kind::ServerDrain => {
+                fleet.crash_server(self.server).await;
+                fleet.start_server(self.server).await?;
+            }
+            Kind::ServerDark => fleet.reach_server(self.server, Reach::Open),
+            Kind::ServerFailing => fleet.fail_server(self.server, false),
+            Kind::AnswersLost | Kind::AnswersGarbled | Kind::AnswersSurplus | Kind::StreamsCut => {
+                fleet.clear_faults();
+            }
+            _ => {}
+        }
+        Ok(End::Over)
+    }
+
+    fn front_units(&self) -> [Unit; 2] {
+        [Unit::Proxy(self.front), Unit::Agent(self.front)]
+    }
+
+    /// The links that it harms, and how.
+    fn links(&self, fleet: &Fleet) -> Vec<(Link, LinkState)> {
+        let address = |index: usize| fleet.cluster.control_bound(index);
+        let both = |one, other, state| vec![((one, other), state), ((other, one), state)];
+        let (one, other) = (address(self.control), address(self.other));
+        let agent = fleet.cluster.front_bound(self.front);
+        let all = || self.controls.iter().map(|index| address(*index));
+        match self.trouble.kind {
+            Kind::PairSilent => both(one, other, LinkState::Silent),
+            Kind::PairReset => both(one, other, LinkState::Reset),
+            Kind::PairOneWay => vec![((one, other), LinkState::Silent)],
+            Kind::PairSlow => {
+                let delay = Duration::from_millis(20 + 4 * self.trouble.other as u64);
+                both(one, other, LinkState::Slow(delay))
+            }
+            Kind::Halves => {
+                let is_near = |index: &usize| *index % 2 == self.trouble.other % 2;
+                let (near, far): (Vec<usize>, Vec<usize>) =
+                    self.controls.iter().partition(|index| is_near(index));
+                let pairs = near.iter().flat_map(|near| far.iter().map(move |far| (*near, *far)));
+                pairs.flat_map(|(near, far)| both(address(near), address(far), LinkState::Silent)).collect()
+            }
+            Kind::Mute => all().filter(|to| *to != one).map(|to| ((one, to), LinkState::Silent)).collect(),
+            Kind::AgentSilent => both(agent, one, LinkState::Silent),
+            Kind::AgentDeaf => all().map(|from| ((from, agent), LinkState::Silent)).collect(),
+            Kind::AgentReset => all().flat_map(|to| both(agent, to, LinkState::Reset)).collect(),
+            _ => Vec::new(),
+        }
+    }
+}
+
+/// Starts processes again that were asked to end, once all of them have.
+fn restart(fleet: &mut Fleet, units: &[Unit]) -> Result<End> {
+    let mut have_ended = true;
+    for unit in units {
+        have_ended &= fleet.has_ended(*unit);
+    }
+    if !have_ended {
+        return Ok(End::Again);
+    }
+    units.iter().try_for_each(|unit| fleet.release(*unit))?;
+    Ok(End::Over)
+}
+
+/// Brings the links into the state that all troubles that go on give them; the worst counts.
+pub fn apply_links(fleet: &Fleet, active: &[Active]) {
+    fleet.links.open_all();
+    let harms: Vec<(Link, LinkState)> = active.iter().flat_map(|active| active.links(fleet)).collect();
+    let rank = |state: &LinkState| match state {
+        LinkState::Open => 0,
+        LinkState::Slow(_) => 1,
+        LinkState::Silent => 2,
+        LinkState::Reset => 3,
+    };
+    let mut sorted = harms;
+    sorted.sort_by_key(|(_, state)| rank(state));
+    for (link, state) in sorted {
+        fleet.links.set(link, state);
+    }
+}
