--- a/crates/emulator/src/cluster/mod.rs
+++ b/crates/emulator/src/cluster/mod.rs
@@ -63,6 +63,8 @@
     pub bounds: Vec<(String, String)>,
     /// Arguments of every process behind its subcommand.
     pub arguments: Vec<String>,
+    /// Descriptors that each process is told it may hold.
+    pub max_fds: usize,
     /// Whether machines are reached through relays: processes then listen on and connect from addresses of their own.
     pub relayed: bool,
 }
@@ -354,6 +356,7 @@
             tolerated: self.options.tolerated,
             cloud: Some(self.options.cloud),
             bounds: self.options.bounds.clone(),
+            max_fds: self.options.max_fds,
             ..SettingsSpec::default()
         }
     }
--- a/crates/emulator/src/cluster/process.rs
+++ b/crates/emulator/src/cluster/process.rs
@@ -65,6 +65,22 @@
         if status.success() { Ok(()) } else { Err(io::Error::other("the signal was not sent")) }
     }
 
+    /// Changes how many descriptors it may open from now on, at most as many as it could at its start. What is open stays
+    /// open.
+    pub fn limit_descriptors(&mut self, most: usize) -> io::Result<()> {
+        if self.child.try_wait()?.is_some() {
+            return Ok(());
+        }
+        let (id, limit) = (self.child.id().to_string(), format!("--nofile={most}:"));
+        let status = Command::new("prlimit").args(["--pid", &id, &limit]).status()?;
+        if status.success() { Ok(()) } else { Err(io::Error::other("the limit was not set")) }
+    }
+
+    /// Descriptors that it has open.
+    pub fn open_descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+
     /// Its id.
     pub fn id(&self) -> u32 {
         self.child.id()
--- a/crates/emulator/src/cluster/settings_file.rs
+++ b/crates/emulator/src/cluster/settings_file.rs
@@ -49,6 +49,8 @@
     pub feed_address: Option<SocketAddr>,
     /// The platform's list.
     pub cloud: Option<SocketAddr>,
+    /// Descriptors that the process is told it may hold.
+    pub max_fds: usize,
     /// Lines of `[Bounds]` in place of the usual ones, as name and value.
     pub bounds: Vec<(String, String)>,
 }
@@ -72,6 +74,7 @@
             control: None,
             feed_address: None,
             cloud: None,
+            max_fds: 4_096,
             bounds: Vec::new(),
         }
     }
@@ -137,7 +140,8 @@
         let disk_mb = if self.data_dir.is_some() { 128 } else { 0 };
         writeln!(
             out,
-            "[Limits]\nCpuShare = 0.5\nCores = 1\nMemoryMb = 256\nMaxFds = 4096\nLinkMbps = 1000.0"
+            "[Limits]\nCpuShare = 0.5\nCores = 1\nMemoryMb = 256\nMaxFds = {}\nLinkMbps = 1000.0",
+            self.max_fds
         )?;
         writeln!(out, "DiskMb = {disk_mb}")?;
         writeln!(out, "[FaultTolerance]\nMachines = {}\nZones = 0\nRegions = 0", self.tolerated)?;
--- a/crates/emulator/src/host/mod.rs
+++ b/crates/emulator/src/host/mod.rs
@@ -7,7 +7,7 @@
 
 use crate::core::{Action, CallId, ServerCore, ServerEvent};
 use crate::fault::{Fault, FaultPlan, Matcher, Reach};
-use crate::ledger::Run;
+use crate::ledger::{Run, WorkEnd};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -113,8 +113,10 @@
         if let Some(open) = calls.get(&call) {
             let _ = open.actions.send(action);
         }
-        if is_last {
-            calls.remove(&call);
+        let ended = if is_last { calls.remove(&call) } else { None };
+        drop(calls);
+        if let Some(open) = ended {
+            self.note_end(open);
         }
     }
 
@@ -126,8 +128,17 @@
         (call, receiver)
     }
 
+    /// Notes that the server is done with a call, whole or not.
+    fn note_end(&self, open: OpenCall) {
+        let end = WorkEnd { at: self.world.now(), request_id: open.request_id };
+        self.world.ledger().ended(end);
+    }
+
     fn cancel(&self, call: CallId) {
-        lock(&self.calls).remove(&call);
+        let open = lock(&self.calls).remove(&call);
+        if let Some(open) = open {
+            self.note_end(open);
+        }
         self.dispatch(ServerEvent::Cancelled { call });
     }
 
--- a/crates/emulator/src/ledger.rs
+++ b/crates/emulator/src/ledger.rs
@@ -57,6 +57,15 @@
     pub memory_of: Option<String>,
 }
 
+/// A server has answered a request whole, or given it up.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkEnd {
+    /// Since the start of the world.
+    pub at: Duration,
+    /// The id of the client's try.
+    pub request_id: String,
+}
+
 /// An order as a server got it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OrderSeen {
@@ -106,6 +115,7 @@
 struct Books {
     arrivals: Vec<Arrival>,
     runs: Vec<Run>,
+    ends: Vec<WorkEnd>,
     orders: Vec<OrderSeen>,
 }
 
@@ -135,6 +145,16 @@
         self.books().runs.push(run);
     }
 
+    /// Adds the end of a server's work.
+    pub fn ended(&self, end: WorkEnd) {
+        self.books().ends.push(end);
+    }
+
+    /// The ends of all work so far.
+    pub fn ends(&self) -> Vec<WorkEnd> {
+        self.books().ends.clone()
+    }
+
     /// Adds an order.
     pub fn ordered(&self, order: OrderSeen) {
         self.books().orders.push(order);
--- a/crates/lugwharf/tests/support/mod.rs
+++ b/crates/lugwharf/tests/support/mod.rs
@@ -97,6 +97,7 @@
             cloud: platform.address(),
             bounds: Vec::new(),
             arguments: ["--log", "info"].map(str::to_owned).to_vec(),
+            max_fds: 4_096,
             relayed: false,
         };
         let binary = Path::new(env!("CARGO_BIN_EXE_lugwharf"));
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -15,6 +15,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 /// The host of all routes.
 pub const HOST: &str = "shop.example";
@@ -22,10 +23,24 @@
 pub const MODEL_SERVICE: &str = "tutor";
 /// The service of other requests.
 pub const PLAIN_SERVICE: &str = "board";
+/// The service of requests that take long, for clients that don't wait.
+pub const SLOW_SERVICE: &str = "archive";
+/// How long they take.
+const SLOW_WORK: Duration = Duration::from_millis(1_500);
+/// The longest time for a stream, in ms: long ones last for seconds.
+const STREAM_TIMEOUT_MS: u64 = 10_000;
 /// The zone of all servers.
 const ZONE: &str = "zone-a";
 /// Control machines at most, those included that replace others.
 const MOST_CONTROLS: usize = 8;
+/// Descriptors that processes are told they may hold: a proxy then takes some 60 clients, which a crowd goes beyond.
+const MAX_FDS: usize = 300;
+/// Descriptors that a process may open beyond those that it has while these run out.
+const FEW_DESCRIPTORS: usize = 0;
+/// Enough for every process.
+const MANY_DESCRIPTORS: usize = 1_024;
+/// Slow requests at once.
+const SLOW_SLOTS: usize = 64;
 /// Servers by what they are at the start.
 const READERS: usize = 2;
 const MAKERS: usize = 3;
@@ -36,6 +51,7 @@
 enum Part {
     Model(Stage),
     Plain,
+    Slow,
 }
 
 enum Running {
@@ -112,6 +128,7 @@
             cloud: platform.address(),
             bounds: Vec::new(),
             arguments: ["--log", "info"].map(str::to_owned).to_vec(),
+            max_fds: MAX_FDS,
             relayed: true,
         };
         let cluster = Cluster::new(binary, Subnet::claim()?, options)?;
@@ -220,6 +237,15 @@
         if *count == 0 { self.signal(unit, Signal::Thaw) } else { Ok(()) }
     }
 
+    /// Lets a process open hardly any more descriptors, or as many as it needs.
+    pub fn limit_descriptors(&mut self, unit: Unit, are_short: bool) -> Result<()> {
+        if let Some(process) = self.cluster.process(&unit.name()) {
+            let few = process.open_descriptors() + FEW_DESCRIPTORS;
+            process.limit_descriptors(if are_short { few } else { MANY_DESCRIPTORS })?;
+        }
+        Ok(())
+    }
+
     /// Sends a signal.
     pub fn signal(&mut self, unit: Unit, signal: Signal) -> Result<()> {
         if let Some(process) = self.cluster.process(&unit.name()) {
@@ -249,7 +275,8 @@
     async fn start_servers(&mut self) -> Result<()> {
         let parts = std::iter::repeat_n(Part::Model(Stage::Prefill), READERS)
             .chain(std::iter::repeat_n(Part::Model(Stage::Decode), MAKERS))
-            .chain(std::iter::repeat_n(Part::Plain, PLAIN));
+            .chain(std::iter::repeat_n(Part::Plain, PLAIN))
+            .chain([Part::Slow]);
         for part in parts {
             let address: SocketAddr = ([127, 0, 0, 1], 0).into();
             self.servers.push(Server { part, address, id: String::new(), running: None, incarnations: 0 });
@@ -279,12 +306,17 @@
                 let listed = Listed::plain(&server.id, MODEL_SERVICE, server.address, ZONE, slots);
                 (Running::Model(host), listed.staged(stage, "m", 1))
             }
-            Part::Plain => {
-                let core =
-                    PlainServer::new(Identity::new(&server.id, PLAIN_SERVICE), PlainParameters::default());
+            Part::Plain | Part::Slow => {
+                let is_slow = server.part == Part::Slow;
+                let service = if is_slow { SLOW_SERVICE } else { PLAIN_SERVICE };
+                let mut parameters = PlainParameters::default();
+                if is_slow {
+                    parameters = PlainParameters { work: SLOW_WORK, slots: SLOW_SLOTS, ..parameters };
+                }
+                let core = PlainServer::new(Identity::new(&server.id, service), parameters);
                 let host = Host::start(world, server.address, core, options).await?;
                 server.address = host.address();
-                let listed = Listed::plain(&server.id, PLAIN_SERVICE, server.address, ZONE, 6);
+                let listed = Listed::plain(&server.id, service, server.address, ZONE, 6);
                 (Running::Plain(host), listed)
             }
         };
@@ -369,13 +401,30 @@
     ConfigurationSpec::new(version)
         .service(ServiceSpec::new(MODEL_SERVICE, Some(engine)))
         .service(ServiceSpec::new(PLAIN_SERVICE, None))
-        .route(RouteSpec::new(HOST, "/gen/", "streaming", MODEL_SERVICE))
+        .service(ServiceSpec::new(SLOW_SERVICE, None))
+        .route(stream("/gen/"))
         .route(RouteSpec::new(HOST, "/work/", "unsafe", PLAIN_SERVICE))
         .route(RouteSpec::new(HOST, "/read/", "safe", PLAIN_SERVICE))
-        .route(RouteSpec { resumable: true, ..RouteSpec::new(HOST, "/resume/", "streaming", MODEL_SERVICE) })
+        .route(RouteSpec::new(HOST, "/slow/", "safe", SLOW_SERVICE))
+        .route(RouteSpec { resumable: true, ..stream("/resume/") })
         .route(RouteSpec::new(HOST, &format!("/only-{version}/"), "safe", PLAIN_SERVICE))
 }
 
+fn stream(prefix: &str) -> RouteSpec {
+    RouteSpec { timeout_ms: STREAM_TIMEOUT_MS, ..RouteSpec::new(HOST, prefix, "streaming", MODEL_SERVICE) }
+}
+
+/// The service that a request of a client goes to.
+pub fn service_of(target: &str) -> &'static str {
+    if target.starts_with("/gen/") || target.starts_with("/resume/") {
+        MODEL_SERVICE
+    } else if target.starts_with("/slow/") {
+        SLOW_SERVICE
+    } else {
+        PLAIN_SERVICE
+    }
+}
+
 /// The version that a configuration's bytes bear.
 pub fn version_of(bytes: &[u8]) -> Option<u64> {
     let value: serde_json::Value = serde_json::from_slice(bytes).ok()?;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -30,6 +30,7 @@
     options.optopt("j", "jobs", "seeds at a time (1)", "N");
     options.optopt("f", "folder", "where failing seeds leave their records (soak-found)", "FOLDER");
     options.optopt("p", "schedule", "plays the troubles of this file in place of those of the seed", "FILE");
+    options.optflag("k", "keep", "leaves records of seeds that don't fail as well");
     options.optflag("m", "minimize", "leaves out troubles of a failing seed that it fails without");
     options
 }
@@ -42,6 +43,8 @@
     overlap: Overlap,
     length: Duration,
     schedule: Option<Schedule>,
+    /// Whether runs that find nothing leave their records too.
+    keeps_all: bool,
 }
 
 fn soak() -> Result<bool> {
@@ -57,6 +60,7 @@
         overlap: Overlap(number(&matches, "overlap", 2)? as usize),
         length: Duration::from_secs(number(&matches, "seconds", 12)?),
         schedule: matches.opt_str("schedule").map(|path| read_schedule(&path)).transpose()?,
+        keeps_all: matches.opt_present("keep"),
     };
     ensure!(plan.binary.exists(), "no program at {}", plan.binary.display());
     let seeds = seeds(&matches)?;
@@ -130,12 +134,17 @@
 }
 
 fn report(plan: &Plan, seed: u64, outcome: &Outcome) {
-    let Some(first) = outcome.findings.first() else {
-        println!("seed {seed}: ok, {} of {} requests", outcome.successes, outcome.requests);
+    match outcome.findings.first() {
+        None => println!("seed {seed}: ok, {} of {} requests", outcome.successes, outcome.requests),
+        Some(first) => {
+            let (count, rule, facts) = (outcome.findings.len(), first.rule, &first.facts);
+            println!("seed {seed}: {count} findings, first {rule}: {facts}");
+        }
+    }
+    if outcome.findings.is_empty() && !plan.keeps_all {
         return;
-    };
+    }
     let folder = plan.folder.join(format!("seed-{seed}"));
-    println!("seed {seed}: {} findings, first {}: {}", outcome.findings.len(), first.rule, first.facts);
     match write_folder(&folder, outcome) {
         Ok(()) => println!("seed {seed}: records in {}", folder.display()),
         Err(error) => println!("seed {seed}: no records in {}: {error}", folder.display()),
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -74,6 +74,14 @@
     FrontTerm => "front_term",
     /// Both processes of a front stand still.
     FrontFreeze => "front_freeze",
+    /// A control process can open no more descriptors.
+    ControlDescriptors => "control_descriptors",
+    /// A proxy can open no more descriptors.
+    ProxyDescriptors => "proxy_descriptors",
+    /// An agent can open no more descriptors.
+    AgentDescriptors => "agent_descriptors",
+    /// More connections are opened to a front than it takes, and rest.
+    Crowd => "crowd",
     /// All processes read their settings again.
     Reload => "reload",
     /// The platform does not answer.
@@ -110,7 +118,10 @@
 
     /// Whether a front or its feed stops.
     pub fn harms_fronts(self) -> bool {
-        matches!(self, Kind::ProxyKill | Kind::FrontTerm | Kind::FrontFreeze)
+        matches!(
+            self,
+            Kind::ProxyKill | Kind::FrontTerm | Kind::FrontFreeze | Kind::ProxyDescriptors | Kind::Crowd
+        )
     }
 
     /// Whether the control machines or the links between them are in trouble.
@@ -123,6 +134,7 @@
                 | Kind::ControlWipe
                 | Kind::ControlHerd
                 | Kind::ControlReplace
+                | Kind::ControlDescriptors
                 | Kind::PairSilent
                 | Kind::PairReset
                 | Kind::PairOneWay
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -15,6 +15,12 @@
 const STEADY: usize = 6;
 /// Their pause between two requests, in ms.
 const PAUSE_MS: std::ops::Range<u64> = 5..60;
+/// One generation in so many is long.
+const LONG_ONE_IN: u32 = 12;
+/// Tokens of a long one, each some 0.6 ms.
+const LONG_TOKENS: std::ops::Range<u64> = 1_500..5_000;
+/// Clients wait longer than any route allows.
+const DEADLINE_MS: u64 = 12_000;
 /// Requests on one connection at most.
 const KEPT: u32 = 20;
 
@@ -123,7 +129,7 @@
 async fn one(
     shared: &Shared, behaviour: Behaviour, front: usize, client: &mut Client, rng: &mut fastrand::Rng,
 ) -> bool {
-    let request = draw(shared, rng);
+    let request = draw(shared, behaviour, rng);
     let (is_kept, began) = (client.is_connected(), shared.world.now());
     let outcome = match behaviour {
         Behaviour::Steady | Behaviour::Slow => client.send(&request).await,
@@ -160,19 +166,24 @@
     outcome
 }
 
-fn draw(shared: &Shared, rng: &mut fastrand::Rng) -> ClientRequest {
+fn draw(shared: &Shared, behaviour: Behaviour, rng: &mut fastrand::Rng) -> ClientRequest {
     let number = shared.ids.fetch_add(1, Ordering::Relaxed);
     let id = format!("{:016x}", 0x50a4_0000_0000_0000_u64 + number);
-    let out_tokens = rng.u64(1..80);
+    // What a client leaves behind should have gone on for seconds, and some streams outlive a trouble.
+    let is_long = behaviour == Behaviour::Leaving || rng.u32(..LONG_ONE_IN) == 0;
+    let out_tokens = if is_long { rng.u64(LONG_TOKENS) } else { rng.u64(1..80) };
     // Few parts of prompts are shared, so that some are read already.
     let parts = [(rng.u64(..20), 2_000), (0x1_0000 + number, 2_000)];
-    match rng.u32(..8) {
+    let draw = if behaviour == Behaviour::Leaving { rng.u32(3..10) } else { rng.u32(..8) };
+    let request = match draw {
         0..=2 => ClientRequest::post(&id, HOST, "/work/1", Kind::Unsafe),
         3 => ClientRequest::post(&id, HOST, "/read/1", Kind::Safe),
         4 | 5 => ClientRequest::generation(&id, HOST, "/gen/1", (5_000, out_tokens), &parts),
-        _ => {
+        6 | 7 => {
             let request = ClientRequest::generation(&id, HOST, "/resume/1", (5_000, out_tokens), &parts);
             ClientRequest { kind: Kind::ResumableStream, ..request }
         }
-    }
+        _ => ClientRequest::post(&id, HOST, "/slow/1", Kind::Safe),
+    };
+    ClientRequest { deadline_ms: DEADLINE_MS, ..request }
 }
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -7,12 +7,23 @@
 use eyre::Result;
 use lugwharf_emulator::cluster::Signal;
 use lugwharf_emulator::fault::{Fault, Reach};
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::timeout;
 
 /// Requests at each server that meet a fault.
 const FAULTS_EACH: usize = 3;
 
+/// Bits that tell which half a machine is in.
+const SIDES: usize = 6;
+/// Connections of a crowd: more than a proxy takes.
+const CROWD: usize = 90;
+/// The rig waits no longer for one of them.
+const CONNECT_WITHIN: Duration = Duration::from_millis(20);
+
 /// A trouble that has begun, with what it was drawn for at that moment.
 #[derive(Clone, Debug)]
 pub struct Active {
@@ -27,6 +38,8 @@
     controls: Vec<usize>,
     /// The machine that was added.
     added: Option<usize>,
+    /// Connections that rest.
+    crowd: Arc<Vec<TcpStream>>,
 }
 
 /// Whether a trouble is over, or has to be looked at again.
@@ -51,6 +64,7 @@
             server: trouble.target % fleet.servers.len(),
             controls: fleet.controls.clone(),
             added: None,
+            crowd: Arc::default(),
         }
     }
 
@@ -79,6 +93,10 @@
             Kind::FrontFreeze => {
                 self.front_units().into_iter().try_for_each(|unit| fleet.freeze(unit))?;
             }
+            Kind::ControlDescriptors => fleet.limit_descriptors(control, true)?,
+            Kind::ProxyDescriptors => fleet.limit_descriptors(Unit::Proxy(self.front), true)?,
+            Kind::AgentDescriptors => fleet.limit_descriptors(Unit::Agent(self.front), true)?,
+            Kind::Crowd => self.crowd = gather(fleet.cluster.front_address(self.front)).await,
             Kind::Reload => {
                 fleet.units(fronts).into_iter().try_for_each(|unit| fleet.signal(unit, Signal::Reload))?;
             }
@@ -111,7 +129,7 @@
         Ok(())
     }
 
-    /// Ends it. `is_last` tells whether no other trouble of its kind goes on at the same place.
+    /// Ends it, or tells that it has to be looked at again.
     pub async fn end(&mut self, fleet: &mut Fleet) -> Result<End> {
         let control = Unit::Control(self.control);
         match self.trouble.kind {
@@ -133,6 +151,10 @@
             Kind::FrontFreeze => {
                 self.front_units().into_iter().try_for_each(|unit| fleet.thaw(unit))?;
             }
+            Kind::ControlDescriptors => fleet.limit_descriptors(control, false)?,
+            Kind::ProxyDescriptors => fleet.limit_descriptors(Unit::Proxy(self.front), false)?,
+            Kind::AgentDescriptors => fleet.limit_descriptors(Unit::Agent(self.front), false)?,
+            Kind::Crowd => self.crowd = Arc::default(),
             Kind::PlatformDark | Kind::PlatformReset => fleet.platform.set_reach(Reach::Open),
             Kind::ServerCrash => fleet.start_server(self.server).await?,
             Kind::ServerDrain => {
@@ -169,10 +191,14 @@
                 both(one, other, LinkState::Slow(delay))
             }
             Kind::Halves => {
-                let is_near = |index: &usize| *index % 2 == self.trouble.other % 2;
-                let (near, far): (Vec<usize>, Vec<usize>) =
-                    self.controls.iter().partition(|index| is_near(index));
-                let pairs = near.iter().flat_map(|near| far.iter().map(move |far| (*near, *far)));
+                // Any division; where all would be on one side, the machine that the trouble is for is alone.
+                let side = |index: usize| (self.trouble.target ^ self.trouble.other) >> (index % SIDES) & 1;
+                let is_whole = self.controls.iter().all(|index| side(*index) == side(self.control));
+                let is_near = |index: &&usize| {
+                    if is_whole { **index == self.control } else { side(**index) == side(self.control) }
+                };
+                let (near, far): (Vec<&usize>, Vec<&usize>) = self.controls.iter().partition(is_near);
+                let pairs = near.iter().flat_map(|near| far.iter().map(move |far| (**near, **far)));
                 pairs.flat_map(|(near, far)| both(address(near), address(far), LinkState::Silent)).collect()
             }
             Kind::Mute => all().filter(|to| *to != one).map(|to| ((one, to), LinkState::Silent)).collect(),
@@ -184,6 +210,17 @@
     }
 }
 
+/// Opens connections to a front that rest.
+async fn gather(front: SocketAddr) -> Arc<Vec<TcpStream>> {
+    let mut crowd = Vec::new();
+    for _ in 0..CROWD {
+        if let Ok(Ok(stream)) = timeout(CONNECT_WITHIN, TcpStream::connect(front)).await {
+            crowd.push(stream);
+        }
+    }
+    Arc::new(crowd)
+}
+
 /// Starts processes again that were asked to end, once all of them have.
 fn restart(fleet: &mut Fleet, units: &[Unit]) -> Result<End> {
     let mut have_ended = true;
