--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,36 +1,18 @@
-//! The processes of one run, the relays between them, the servers and the platform.
+//! The processes of one run, the relays between them, and what surrounds them.
 
+use crate::configuration::configuration;
 use crate::relay::{Links, Relay};
 use crate::schedule::Scenario;
+use crate::servers::Server;
 use eyre::{Result, WrapErr, ensure};
 use lugwharf_emulator::cluster::{Cluster, ClusterOptions, Signal, Subnet};
-use lugwharf_emulator::configuration::{ConfigurationSpec, EngineSpec, RouteSpec, ServiceSpec};
-use lugwharf_emulator::core::{Identity, ServerEvent};
-use lugwharf_emulator::fault::{Fault, Matcher, Reach};
-use lugwharf_emulator::host::{Host, HostOptions, World};
-use lugwharf_emulator::model_server::{ModelParameters, ModelServer, Stage};
+use lugwharf_emulator::host::World;
 use lugwharf_emulator::operator::Operator;
-use lugwharf_emulator::plain_server::{PlainParameters, PlainServer};
-use lugwharf_emulator::platform::{Listed, PlatformHost, PlatformParameters};
+use lugwharf_emulator::platform::{PlatformHost, PlatformParameters};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
-use std::time::Duration;
 
-/// The host of all routes.
-pub const HOST: &str = "shop.example";
-/// The service of generations.
-pub const MODEL_SERVICE: &str = "tutor";
-/// The service of other requests.
-pub const PLAIN_SERVICE: &str = "board";
-/// The service of requests that take long, for clients that don't wait.
-pub const SLOW_SERVICE: &str = "archive";
-/// How long they take.
-const SLOW_WORK: Duration = Duration::from_millis(1_500);
-/// The longest time for a stream, in ms: long ones last for seconds.
-const STREAM_TIMEOUT_MS: u64 = 10_000;
-/// The zone of all servers.
-const ZONE: &str = "zone-a";
 /// Control machines at most, those included that replace others.
 const MOST_CONTROLS: usize = 8;
 /// Descriptors that processes are told they may hold: a proxy then takes some 60 clients, which a crowd goes beyond.
@@ -39,35 +21,6 @@
 const FEW_DESCRIPTORS: usize = 0;
 /// Enough for every process.
 const MANY_DESCRIPTORS: usize = 1_024;
-/// Slow requests at once.
-const SLOW_SLOTS: usize = 64;
-/// Servers by what they are at the start.
-const READERS: usize = 2;
-const MAKERS: usize = 3;
-const PLAIN: usize = 3;
-
-/// What a server is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Part {
-    Model(Stage),
-    Plain,
-    Slow,
-}
-
-enum Running {
-    Model(Host<ModelServer>),
-    Plain(Host<PlainServer>),
-}
-
-/// One server with the address that its successors take over.
-pub struct Server {
-    part: Part,
-    address: SocketAddr,
-    /// The id of the incarnation that runs, or ran last.
-    pub id: String,
-    running: Option<Running>,
-    incarnations: u32,
-}
 
 /// All of one run.
 pub struct Fleet {
@@ -271,153 +224,4 @@
         self.controls.retain(|index| *index != old);
         self.controls.push(new);
     }
-
-    async fn start_servers(&mut self) -> Result<()> {
-        let parts = std::iter::repeat_n(Part::Model(Stage::Prefill), READERS)
-            .chain(std::iter::repeat_n(Part::Model(Stage::Decode), MAKERS))
-            .chain(std::iter::repeat_n(Part::Plain, PLAIN))
-            .chain([Part::Slow]);
-        for part in parts {
-            let address: SocketAddr = ([127, 0, 0, 1], 0).into();
-            self.servers.push(Server { part, address, id: String::new(), running: None, incarnations: 0 });
-            self.start_server(self.servers.len() - 1).await?;
-        }
-        Ok(())
-    }
-
-    /// Starts another incarnation at the address of a server, and lists it.
-    pub async fn start_server(&mut self, index: usize) -> Result<()> {
-        let server = &mut self.servers[index];
-        if server.running.is_some() {
-            return Ok(());
-        }
-        server.incarnations += 1;
-        server.id = format!("i-{index}-{}", server.incarnations);
-        let (world, options) = (&self.world, HostOptions::default());
-        let (running, listed) = match server.part {
-            Part::Model(stage) => {
-                let parameters = ModelParameters::quick(stage);
-                let slots = u32::try_from(parameters.slots)?;
-                let mut identity = Identity::new(&server.id, MODEL_SERVICE);
-                identity.place.zone = ZONE.to_owned();
-                let core = ModelServer::new(identity, parameters);
-                let host = Host::start(world, server.address, core, options).await?;
-                server.address = host.address();
-                self.platform.follow_stage(&server.id, host.stage_source());
-                let listed = Listed::plain(&server.id, MODEL_SERVICE, server.address, ZONE, slots);
-                (Running::Model(host), listed.staged(stage, "m", 1))
-            }
-            Part::Plain | Part::Slow => {
-                let is_slow = server.part == Part::Slow;
-                let service = if is_slow { SLOW_SERVICE } else { PLAIN_SERVICE };
-                let mut parameters = PlainParameters::default();
-                if is_slow {
-                    parameters = PlainParameters { work: SLOW_WORK, slots: SLOW_SLOTS, ..parameters };
-                }
-                let core = PlainServer::new(Identity::new(&server.id, service), parameters);
-                let host = Host::start(world, server.address, core, options).await?;
-                server.address = host.address();
-                let listed = Listed::plain(&server.id, service, server.address, ZONE, 6);
-                (Running::Plain(host), listed)
-            }
-        };
-        server.running = Some(running);
-        self.platform.put(listed);
-        Ok(())
-    }
-
-    /// Ends a server as a crash does. The platform notices.
-    pub async fn crash_server(&mut self, index: usize) {
-        let server = &mut self.servers[index];
-        match server.running.take() {
-            Some(Running::Model(host)) => drop(host.crash().await),
-            Some(Running::Plain(host)) => drop(host.crash().await),
-            None => return,
-        }
-        self.platform.remove(&server.id);
-    }
-
-    /// Tells the platform that a server is to end.
-    pub fn drain_server(&mut self, index: usize) {
-        if self.servers[index].running.is_some() {
-            self.platform.drain(&self.servers[index].id);
-        }
-    }
-
-    /// Changes whether a server can be reached.
-    pub fn reach_server(&mut self, index: usize, reach: Reach) {
-        match &self.servers[index].running {
-            Some(Running::Model(host)) => host.set_reach(reach),
-            Some(Running::Plain(host)) => host.set_reach(reach),
-            None => {}
-        }
-    }
-
-    /// Lets runs at a server fail, or no longer.
-    pub fn fail_server(&mut self, index: usize, failing: bool) {
-        let event = ServerEvent::SetFailing(failing);
-        match &self.servers[index].running {
-            Some(Running::Model(host)) => host.tell(event),
-            Some(Running::Plain(host)) => host.tell(event),
-            None => {}
-        }
-    }
-
-    /// Adds a fault at all servers, for so many requests each.
-    pub fn inject(&self, fault: &Fault, times: usize) {
-        for server in &self.servers {
-            match &server.running {
-                Some(Running::Model(host)) => host.inject(Matcher::any(), fault.clone(), times),
-                Some(Running::Plain(host)) => host.inject(Matcher::any(), fault.clone(), times),
-                None => {}
-            }
-        }
-    }
-
-    /// Forgets all faults of servers that were not used.
-    pub fn clear_faults(&self) {
-        for server in &self.servers {
-            match &server.running {
-                Some(Running::Model(host)) => host.clear_faults(),
-                Some(Running::Plain(host)) => host.clear_faults(),
-                None => {}
-            }
-        }
-    }
-}
-
-/// The configuration of a version: the routes of all clients, and one that tells it from others.
-pub fn configuration(version: u64) -> ConfigurationSpec {
-    let engine = EngineSpec::from(&ModelParameters::quick(Stage::Decode));
-    ConfigurationSpec::new(version)
-        .service(ServiceSpec::new(MODEL_SERVICE, Some(engine)))
-        .service(ServiceSpec::new(PLAIN_SERVICE, None))
-        .service(ServiceSpec::new(SLOW_SERVICE, None))
-        .route(stream("/gen/"))
-        .route(RouteSpec::new(HOST, "/work/", "unsafe", PLAIN_SERVICE))
-        .route(RouteSpec::new(HOST, "/read/", "safe", PLAIN_SERVICE))
-        .route(RouteSpec::new(HOST, "/slow/", "safe", SLOW_SERVICE))
-        .route(RouteSpec { resumable: true, ..stream("/resume/") })
-        .route(RouteSpec::new(HOST, &format!("/only-{version}/"), "safe", PLAIN_SERVICE))
-}
-
-fn stream(prefix: &str) -> RouteSpec {
-    RouteSpec { timeout_ms: STREAM_TIMEOUT_MS, ..RouteSpec::new(HOST, prefix, "streaming", MODEL_SERVICE) }
-}
-
-/// The service that a request of a client goes to.
-pub fn service_of(target: &str) -> &'static str {
-    if target.starts_with("/gen/") || target.starts_with("/resume/") {
-        MODEL_SERVICE
-    } else if target.starts_with("/slow/") {
-        SLOW_SERVICE
-    } else {
-        PLAIN_SERVICE
-    }
-}
-
-/// The version that a configuration's bytes bear.
-pub fn version_of(bytes: &[u8]) -> Option<u64> {
-    let value: serde_json::Value = serde_json::from_slice(bytes).ok()?;
-    value["Version"].as_u64()
 }
--- a/crates/soak/src/heal.rs
+++ b/crates/soak/src/heal.rs
@@ -1,6 +1,7 @@
 //! What has to be well again once all troubles are over.
 
-use crate::fleet::{Fleet, configuration};
+use crate::configuration::{configuration, version_of};
+use crate::fleet::Fleet;
 use crate::judge::Finding;
 use crate::operators::{Book, Put};
 use lugwharf_emulator::cluster::ready_status;
@@ -73,7 +74,7 @@
     let find = |facts: String| vec![Finding { rule: "not_healed", facts }];
     let operator = fleet.operator();
     let newest = operator.get().await;
-    let Some(base) = crate::fleet::version_of(newest.body()) else {
+    let Some(base) = version_of(newest.body()) else {
         return find(format!("no configuration is read back: {newest:?}"));
     };
     let (began, bytes) = (fleet.world.now(), configuration(version).to_bytes());
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -1,6 +1,6 @@
 //! What is wrong, by the rig's own records.
 
-use crate::fleet::{service_of, version_of};
+use crate::configuration::{service_of, version_of};
 use crate::operators::{Book, Put, Read};
 use crate::schedule::{Kind, Schedule, Trouble};
 use crate::traffic::{Attempt, Behaviour};
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,7 +5,7 @@
 //! | --- | --- |
 //! | `schedule` | draws the troubles of a seed, and when each begins and ends |
 //! | `relay` | links between machines that can be cut, reset and slowed, one direction at a time |
-//! | `fleet` | the processes, the relays between them, the servers and the platform |
+//! | `fleet`, `servers`, `configuration` | the processes, the relays between them, the platform; the servers; what operators send |
 //! | `trouble` | begins and ends one trouble |
 //! | `traffic` | clients, some of which misbehave |
 //! | `operators` | configurations sent, raced and read back, and what was told about them |
@@ -15,6 +15,7 @@
 //! | `report` | the folder of a failing seed, and the summary |
 #![forbid(unsafe_code)]
 
+mod configuration;
 mod fleet;
 mod heal;
 mod judge;
@@ -27,6 +28,7 @@
 mod schedule;
 #[cfg(test)]
 mod schedule_tests;
+mod servers;
 mod traffic;
 mod trouble;
 mod watch;
--- a/crates/soak/src/operators.rs
+++ b/crates/soak/src/operators.rs
@@ -1,6 +1,6 @@
 //! Operators: configurations sent, raced, sent again and read back, with a record of what was told about them.
 
-use crate::fleet::{configuration, version_of};
+use crate::configuration::{configuration, version_of};
 use lugwharf_emulator::host::World;
 use lugwharf_emulator::operator::{Operator, Verdict, call_once};
 use lugwharf_emulator::wire::Request;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -233,7 +233,7 @@
             writeln!(text, "put {}..{} version {} on {} {verdict:?}", began, ended, put.version, put.base);
     }
     for read in book.reads() {
-        let version = read.bytes.as_deref().and_then(crate::fleet::version_of);
+        let version = read.bytes.as_deref().and_then(crate::configuration::version_of);
         let (began, ended) = (read.began.as_millis(), read.ended.as_millis());
         let _ = writeln!(text, "read {began}..{ended} at {} {version:?}", read.from);
     }
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -1,6 +1,6 @@
 //! Clients of the fleet, some of which misbehave.
 
-use crate::fleet::HOST;
+use crate::configuration::HOST;
 use lugwharf_emulator::client::{Client, ClientRequest, Ending, Kind, Outcome};
 use lugwharf_emulator::host::World;
 use lugwharf_emulator::wire::Connection;
