--- a/crates/lugwharf/src/commands.rs
+++ b/crates/lugwharf/src/commands.rs
@@ -5,7 +5,7 @@
 use eyre::{Result, WrapErr};
 use getopts::{Matches, Options};
 use lugwharf_agent::AgentOptions;
-use lugwharf_config::{Configuration, SCHEMA};
+use lugwharf_config::{Configuration, PATCH_SCHEMA, SCHEMA};
 use lugwharf_control::ControlOptions;
 use lugwharf_proxy::ProxyOptions;
 use lugwharf_settings::{Settings, SettingsError};
@@ -31,6 +31,10 @@
     File,
 }
 
+const PRINT_SCHEMA: &str = "print-schema";
+/// The option of [`PRINT_SCHEMA`] that chooses the other schema.
+const PATCH: &str = "patch";
+
 const COMMANDS: [Command; 6] = [
     Command {
         name: "proxy",
@@ -68,7 +72,7 @@
         run: check_settings,
     },
     Command {
-        name: "print-schema",
+        name: PRINT_SCHEMA,
         is_role: false,
         operand: Operand::Nothing,
         summary: "prints the JSON schema that every configuration is checked against",
@@ -121,6 +125,9 @@
 fn options(command: &Command) -> Options {
     let mut options = Options::new();
     options.optflag("h", "help", "print this text");
+    if command.name == PRINT_SCHEMA {
+        options.optflag("p", PATCH, "the schema of changes of named items (PATCH /config)");
+    }
     if !command.is_role {
         return options;
     }
@@ -226,7 +233,8 @@
     Ok(())
 }
 
-fn print_schema(_: &Matches) -> Result<()> {
+fn print_schema(matches: &Matches) -> Result<()> {
+    let schema = if matches.opt_present(PATCH) { PATCH_SCHEMA } else { SCHEMA };
     let mut out = std::io::stdout().lock();
-    out.write_all(SCHEMA.as_bytes()).and_then(|()| out.flush()).wrap_err("standard output")
+    out.write_all(schema.as_bytes()).and_then(|()| out.flush()).wrap_err("standard output")
 }
--- a/crates/lugwharf/tests/command_line.rs
+++ b/crates/lugwharf/tests/command_line.rs
@@ -183,3 +183,11 @@
     let schema: Value = serde_json::from_slice(&output.stdout).expect("JSON");
     assert!(schema["properties"]["Routes"].is_object(), "{schema}");
 }
+
+#[test]
+fn the_schema_of_patches_is_printed_as_json() {
+    let output = run(&["print-schema", "--patch"]);
+    assert_eq!(output.status.code(), Some(SUCCESS));
+    let schema: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert!(schema["properties"]["Upsert"].is_object(), "{schema}");
+}
