--- a/crates/lugwharf/tests/without_core.rs
+++ b/crates/lugwharf/tests/without_core.rs
@@ -64,6 +64,24 @@
     assert!(fleet.serves(GATEWAY + 1, "/added/").await, "{}", fleet.cluster.logs());
 }
 
+/// After a loss of everything, agents know nobody but their seeds, and replicas only each other.
+#[tokio::test]
+async fn everything_comes_back_where_no_seed_holds_a_replica() {
+    let size = Size { fronts: 5, ..HOSTED };
+    let mut fleet = Fleet::start(size).await;
+    let bytes = next_configuration(3, "/added/").to_bytes();
+    assert_eq!(status(&fleet.operator.put(&bytes, 1).await), Some(200));
+    fleet
+        .cluster
+        .name_seeds([GATEWAY, GATEWAY + 1].map(|front| fleet.cluster.gateway_address(front)).to_vec());
+    fleet.cluster.kill_all().expect("kills");
+    fleet.cluster.start_all().expect("starts");
+    for front in 0..size.fronts {
+        assert!(fleet.serves(front, "/added/").await, "front {front}\n{}", fleet.cluster.logs());
+    }
+    assert_eq!(fleet.read_back().await, Some(bytes), "{}", fleet.cluster.logs());
+}
+
 /// Whoever loses the agent loses the replica with it; the proxy of the machine goes on.
 #[rstest]
 #[case(0)]
