Announce control processes to seeds that hold no replica

Cause: seeds may be fronts whose agents send callers on. Ruled out: the replicas, which found each other by their logs and served; the gateways' redirects.

--- a/crates/agent/src/directory.rs
+++ b/crates/agent/src/directory.rs
@@ -1,17 +1,20 @@
 //! What a machine without a replica tells on the agent port: where the control processes are.
 //!
-//! The settings of a process may name machines that hold no replica, as operators' lists name all that serve control. An agent
-//! or a replica that asks such a machine learns the control processes that the agent of that machine knows. Nothing else is
+//! The settings of a process may name machines that hold no replica, as operators' lists name all that serve control. Control
+//! processes announce themselves to such a machine, and an agent that asks it learns those that it knows. Nothing else is
 //! told, and always as out of touch, so that nobody takes anything out of date from here.
 
-use lugwharf_protocol::{AgentRequest, ControlReply, FrameError, Update, read_frame, write_frame};
+use crate::Outlook;
+use lugwharf_protocol::{
+    AgentRequest, ControlReply, FrameError, Update, VersionVector, read_frame, write_frame,
+};
 use spdlog::prelude::*;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 
 /// Links that may be open at once. Askers leave once they have their answer.
@@ -21,8 +24,11 @@
 /// The wait after an accept that failed, as when there are no descriptors left.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 
-/// Answers askers for as long as the process runs. `control` holds the agent addresses of the control processes.
-pub async fn serve(listener: TcpListener, control: watch::Receiver<Vec<SocketAddr>>) {
+/// Addresses that are kept of announcements at most.
+const MOST_ANNOUNCED: usize = 64;
+
+/// Answers askers for as long as the process runs.
+pub async fn serve(listener: TcpListener, outlook: Outlook) {
     let room = Arc::new(Semaphore::new(MOST_LINKS));
     loop {
         let Ok((stream, address)) = listener.accept().await else {
@@ -30,9 +36,9 @@
             continue;
         };
         let Ok(place) = room.clone().try_acquire_owned() else { continue };
-        let control = control.clone();
+        let outlook = outlook.clone();
         tokio::spawn(async move {
-            if let Err(error) = answer(stream, &control).await {
+            if let Err(error) = answer(stream, &outlook).await {
                 debug!("link", kv: { outcome = "closed", kind = "directory", from: = address, error: = error });
             }
             drop(place);
@@ -40,14 +46,46 @@
     }
 }
 
-async fn answer(mut stream: TcpStream, control: &watch::Receiver<Vec<SocketAddr>>) -> Result<(), FrameError> {
+async fn answer(mut stream: TcpStream, outlook: &Outlook) -> Result<(), FrameError> {
     loop {
         let request = timeout(SILENT, read_frame::<AgentRequest>(&mut stream)).await;
         let request = request.map_err(io::Error::from)??;
-        let Some(AgentRequest::Pull { have, .. }) = request else { return Ok(()) };
-        let control = control.borrow().clone();
+        let have = match request {
+            None => return Ok(()),
+            Some(AgentRequest::Pull { have, .. }) => have,
+            Some(AgentRequest::Announce { control }) => {
+                learn(outlook, control);
+                VersionVector::default()
+            }
+        };
+        let control = known(outlook);
         let update = Update { vector: have, ..Update::default() };
         let reply = ControlReply::Update { in_touch: false, control, update };
         timeout(SILENT, write_frame(&mut stream, &reply)).await.map_err(io::Error::from)??;
     }
 }
+
+/// What the agent knows, and what was announced beside.
+fn known(outlook: &Outlook) -> Vec<SocketAddr> {
+    let mut known = outlook.control.borrow().clone();
+    for address in outlook.announced.borrow().iter() {
+        if !known.contains(address) {
+            known.push(*address);
+        }
+    }
+    known.truncate(MOST_ANNOUNCED);
+    known
+}
+
+/// The newest announcement comes first, and what was announced before stays as far as there is room.
+fn learn(outlook: &Outlook, control: Vec<SocketAddr>) {
+    let announced = outlook.announced.borrow().clone();
+    let mut newest = control;
+    newest.truncate(MOST_ANNOUNCED);
+    for address in announced {
+        if newest.len() < MOST_ANNOUNCED && !newest.contains(&address) {
+            newest.push(address);
+        }
+    }
+    outlook.announced.send_replace(newest);
+}
--- a/crates/agent/src/directory_tests.rs
+++ b/crates/agent/src/directory_tests.rs
@@ -1,12 +1,11 @@
 //! What a machine without a replica tells who asks it for control processes.
 
-use crate::directory;
 use crate::link::Link;
+use crate::{Outlook, directory};
 use lugwharf_protocol::{AgentRequest, ControlReply, Update, VersionVector};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
 
 const LIMIT: Duration = Duration::from_secs(5);
 
@@ -14,13 +13,13 @@
 async fn names_the_control_processes_and_is_out_of_touch() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address");
-    let (known, control) = watch::channel(Vec::new());
-    let serving = tokio::spawn(directory::serve(listener, control));
+    let outlook = Outlook::default();
+    let serving = tokio::spawn(directory::serve(listener, outlook.clone()));
     let mut link = Link::open(address, None).await.expect("a link");
     let have = VersionVector { config: 7, ..VersionVector::default() };
     let named: Vec<SocketAddr> = vec!["10.0.0.1:7721".parse().expect("an address")];
     for control in [Vec::new(), named] {
-        known.send_replace(control.clone());
+        outlook.control.send_replace(control.clone());
         let (node, loads) = ("front-1".to_owned(), Vec::new());
         let request = AgentRequest::Pull { node, incarnation: 1, have, wait_ms: 500, loads };
         let reply = link.call(&request, LIMIT).await.expect("a reply");
@@ -29,3 +28,22 @@
     }
     serving.abort();
 }
+
+/// Control processes announce themselves to a seed that knows nobody yet.
+#[tokio::test]
+async fn names_whom_control_processes_have_announced() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let outlook = Outlook::default();
+    let serving = tokio::spawn(directory::serve(listener, outlook.clone()));
+    let [one, two]: [SocketAddr; 2] =
+        ["10.0.0.1:7721", "10.0.0.2:7721"].map(|text| text.parse().expect("an address"));
+    for (announced, named) in [(vec![one], vec![one]), (vec![two], vec![two, one])] {
+        let mut link = Link::open(address, None).await.expect("a link");
+        let reply = link.call(&AgentRequest::Announce { control: announced }, LIMIT).await.expect("a reply");
+        let update = Update::default();
+        assert_eq!(reply, ControlReply::Update { in_touch: false, control: named.clone(), update });
+        assert_eq!(*outlook.announced.borrow(), named);
+    }
+    serving.abort();
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -50,6 +50,8 @@
     pub following: watch::Sender<Option<SocketAddr>>,
     /// The agent addresses of all control processes that are known.
     pub control: watch::Sender<Vec<SocketAddr>>,
+    /// The agent addresses that control processes have announced to this machine, the newest first.
+    pub announced: watch::Sender<Vec<SocketAddr>>,
 }
 
 /// Runs until SIGTERM.
--- a/crates/agent/src/uplink.rs
+++ b/crates/agent/src/uplink.rs
@@ -117,11 +117,16 @@
 }
 
 impl Uplink {
-    /// All known control processes, the preferred ones first.
+    /// All known control processes, the preferred ones first; then those that were announced, then the seeds.
     fn order(&self) -> Vec<SocketAddr> {
         let known = if self.control.is_empty() { &self.seeds } else { &self.control };
         let mut order = Ring::new(known).monitors_of(&self.node, known.len());
-        order.extend(self.seeds.iter().filter(|seed| !known.contains(seed)));
+        let announced = self.outlook.announced.borrow().clone();
+        for address in announced.into_iter().chain(self.seeds.iter().copied()) {
+            if !order.contains(&address) {
+                order.push(address);
+            }
+        }
         order
     }
 
--- a/crates/agent/src/uplink_tests.rs
+++ b/crates/agent/src/uplink_tests.rs
@@ -168,3 +168,15 @@
 ) {
     assert_eq!(is_unfit(&left), unfit);
 }
+
+/// After a start nobody is known but the seeds, and they may hold no replica.
+#[tokio::test]
+async fn asks_whom_it_was_told_of_before_the_seeds() {
+    let mut bench = bench(vec![vec![], vec![]]).await;
+    let announced: SocketAddr = "127.0.0.9:1".parse().expect("an address");
+    bench.uplink.control = vec!["127.0.0.8:1".parse().expect("an address")];
+    let known = bench.uplink.control[0];
+    bench.uplink.outlook.announced.send_replace(vec![announced, known]);
+    let order = bench.uplink.order();
+    assert_eq!((order[0], order[1], order.len()), (known, announced, 4));
+}
--- a/crates/control/src/seed_lookup_tests.rs
+++ b/crates/control/src/announcement_tests.rs
@@ -1,7 +1,7 @@
-//! A replica that hears nobody asks its seeds, and calls on whom they name.
+//! A replica tells the seeds without one where the control processes are, and hears whom they know.
 
+use crate::announcement::{self, Announcement};
 use crate::command::Command;
-use crate::seed_lookup::{self, Asker};
 use lugwharf_protocol::{AgentRequest, ControlReply, Update, read_frame, write_frame};
 use std::net::SocketAddr;
 use tokio::net::TcpListener;
@@ -19,15 +19,17 @@
     tokio::spawn(async move {
         let (mut stream, _) = seed.accept().await.expect("a link");
         let request = read_frame::<AgentRequest>(&mut stream).await.expect("a frame");
-        let Some(AgentRequest::Pull { node, .. }) = request else { panic!("no request") };
-        assert_eq!(node, "front-1");
+        let own = "10.0.0.2:7721".parse().expect("an address");
+        assert_eq!(request, Some(AgentRequest::Announce { control: vec![own] }));
         let reply = ControlReply::Update { in_touch: false, control, update: Update::default() };
         write_frame(&mut stream, &reply).await.expect("a write");
     });
     let (commands, mut queue) = mpsc::channel(4);
-    tokio::spawn(seed_lookup::run(Asker { node: "front-1".to_owned(), source: None }, commands));
-    let Some(Command::SeedsToAsk { reply }) = queue.recv().await else { panic!("no question") };
-    reply.send(vec![gone_address, seed_address]).expect("an asker");
+    tokio::spawn(announcement::run(None, commands));
+    let Some(Command::Announcement { reply }) = queue.recv().await else { panic!("no question") };
+    let control = vec!["10.0.0.2:7721".parse().expect("an address")];
+    let sent = reply.send(Announcement { seeds: vec![gone_address, seed_address], control });
+    assert!(sent.is_ok(), "somebody asks");
     let Some(Command::Named { addresses }) = queue.recv().await else { panic!("nobody named") };
     assert_eq!(addresses, named);
 }
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -1,5 +1,6 @@
 //! What the owner of the state is asked and told.
 
+use crate::announcement::Announcement;
 use crate::message::{PeerBody, Written};
 use crate::pulls::Frame;
 use crate::shutdown::Outcome;
@@ -91,10 +92,10 @@
         /// How it ended.
         answer: OrderAnswer,
     },
-    /// Asks for the agent addresses of the seeds that are to be asked for control processes: none while any process is heard.
-    SeedsToAsk {
+    /// Asks what is to be announced to seeds.
+    Announcement {
         /// Where the answer goes.
-        reply: oneshot::Sender<Vec<SocketAddr>>,
+        reply: oneshot::Sender<Announcement>,
     },
     /// A seed has named control processes by their agent addresses.
     Named {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,9 @@
 #![forbid(unsafe_code)]
 
 mod agents;
+mod announcement;
+#[cfg(test)]
+mod announcement_tests;
 mod answer;
 #[cfg(test)]
 mod answer_tests;
@@ -34,9 +37,6 @@
 mod reader;
 #[cfg(test)]
 mod reader_tests;
-mod seed_lookup;
-#[cfg(test)]
-mod seed_lookup_tests;
 mod shutdown;
 mod status;
 #[cfg(test)]
@@ -49,7 +49,6 @@
 use lugwharf_telemetry::MetricsEndpoint;
 use metrics::Refusals;
 use owner::Owner;
-use seed_lookup::Asker;
 use shutdown::Outcome;
 use spdlog::prelude::*;
 use std::net::SocketAddr;
@@ -94,8 +93,7 @@
     tokio::spawn(agents::accept(agent_listener, commands.clone()));
     operator::serve(operator_listener, commands.clone(), refusals)?;
     tokio::spawn(tick(commands.clone()));
-    let asker = Asker { node: settings.node.clone(), source: settings.bind };
-    tokio::spawn(seed_lookup::run(asker, commands.clone()));
+    tokio::spawn(announcement::run(settings.bind, commands.clone()));
     if let Some(port) = options.metrics_port
         && let Some(endpoint) = MetricsEndpoint::listen(SocketAddr::new(settings.listen_ip(), port)).await
     {
--- a/crates/control/src/owner.rs
+++ b/crates/control/src/owner.rs
@@ -217,7 +217,7 @@
             Command::FirstListed { entries } => self.first_listed(entries),
             Command::ListingFailed { epoch, give_up } => self.listing_failed(epoch, give_up),
             Command::Ordered { id, answer } => self.ordered(&id, answer),
-            Command::SeedsToAsk { reply } => drop(reply.send(self.seeds_to_ask())),
+            Command::Announcement { reply } => drop(reply.send(self.announcement())),
             Command::Named { addresses } => self.learn_named(&addresses),
             Command::Reload { settings } => self.reload(*settings),
             Command::Shutdown { done } => self.begin_departure(done),
--- a/crates/control/src/owner/seeds.rs
+++ b/crates/control/src/owner/seeds.rs
@@ -1,21 +1,29 @@
-//! What is learned of control processes from seeds that are none.
+//! Seeds that are no control processes: what they are told, and what is learned from them.
 
 use super::Owner;
+use crate::announcement::Announcement;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 impl Owner {
-    /// The agent addresses of the seeds, as long as this process hears no other control process.
-    pub(super) fn seeds_to_ask(&self) -> Vec<SocketAddr> {
-        let hears_somebody = self.processes.hears_any(self.now());
+    /// The control processes, for the seeds that are not among them. No seed is told anything where all are control processes
+    /// that are heard.
+    pub(super) fn announcement(&self) -> Announcement {
+        let processes = self.processes.all(self.now(), self.me, &self.replica.status().members);
         let agent_port = self.settings.internal_ports().agent;
-        let others = self.settings.seeds.iter().filter(|seed| seed.ip() != self.me.ip());
-        let addresses = others.map(|seed| SocketAddr::new(seed.ip(), agent_port));
-        if hears_somebody { Vec::new() } else { addresses.collect() }
+        let seeds = self.settings.seeds.iter().map(|seed| seed.ip());
+        let others = seeds.filter(|seed| !processes.iter().any(|process| process.ip() == *seed));
+        Announcement {
+            seeds: others.map(|seed| SocketAddr::new(seed, agent_port)).collect(),
+            control: self.agent_addresses(&processes),
+        }
     }
 
-    /// Calls on processes that a seed has named, beside the seeds.
+    /// Calls on processes that a seed or another process has named, beside the seeds, where this process hears nobody.
     pub(super) fn learn_named(&mut self, agent_addresses: &[SocketAddr]) {
+        if self.processes.hears_any(self.now()) {
+            return;
+        }
         let peer_port = self.settings.internal_ports().peer;
         let named = agent_addresses.iter().map(|address| SocketAddr::new(address.ip(), peer_port));
         let mut known: BTreeSet<SocketAddr> = super::seeds(&self.settings).into_iter().collect();
--- a/crates/control/src/owner/tables.rs
+++ b/crates/control/src/owner/tables.rs
@@ -22,8 +22,13 @@
 impl Owner {
     /// Takes a pull of an agent in.
     pub(super) fn pull(&mut self, request: AgentRequest, reply: oneshot::Sender<Frame>) {
-        let AgentRequest::Pull { node, incarnation, have, wait_ms, loads } = request;
         let now = self.now();
+        let (node, incarnation, have, wait_ms, loads) = match request {
+            AgentRequest::Pull { node, incarnation, have, wait_ms, loads } => {
+                (node, incarnation, have, wait_ms, loads)
+            }
+            AgentRequest::Announce { control } => return self.hear_announcement(&control, reply),
+        };
         self.census.heard(&node, incarnation, now);
         self.agents.note(now, &node, have);
         self.loads.heard(now, &node, loads);
@@ -31,6 +36,17 @@
         self.serve_pulls();
     }
 
+    /// A process that takes this one for a seed without a replica has named control processes.
+    fn hear_announcement(&mut self, control: &[SocketAddr], reply: oneshot::Sender<Frame>) {
+        self.learn_named(control);
+        let processes = self.processes.all(self.now(), self.me, &self.replica.status().members);
+        let context = Context { in_touch: false, control: self.agent_addresses(&processes) };
+        // Without an answer the link is closed.
+        if let Some(frame) = context.encode(Update::default()) {
+            drop(reply.send(frame));
+        }
+    }
+
     /// Answers the pulls for which there is something.
     pub(super) fn serve_pulls(&mut self) {
         let replica = self.replica.status();
@@ -51,7 +67,7 @@
     }
 
     /// The agent addresses of control processes.
-    fn agent_addresses(&self, processes: &[SocketAddr]) -> Vec<SocketAddr> {
+    pub(super) fn agent_addresses(&self, processes: &[SocketAddr]) -> Vec<SocketAddr> {
         let port = self.settings.internal_ports().agent;
         processes.iter().map(|process| SocketAddr::new(process.ip(), port)).collect()
     }
--- a/crates/control/src/pulls.rs
+++ b/crates/control/src/pulls.rs
@@ -63,7 +63,8 @@
 }
 
 impl Context {
-    fn encode(&self, update: Update) -> Option<Frame> {
+    /// The answer with this update, if it can be encoded.
+    pub fn encode(&self, update: Update) -> Option<Frame> {
         let reply = ControlReply::Update { in_touch: self.in_touch, control: self.control.clone(), update };
         match encode(&reply) {
             Ok(frame) => Some(frame.into()),
--- a/crates/lugwharf/src/front.rs
+++ b/crates/lugwharf/src/front.rs
@@ -43,7 +43,7 @@
     let (target, targets) = watch::channel(None);
     gateway::serve(listen(address).await?, targets);
     tokio::spawn(redirect_to_followed(outlook.following.subscribe(), target, address.port()));
-    tokio::spawn(directory::serve(listen(directory_address).await?, outlook.control.subscribe()));
+    tokio::spawn(directory::serve(listen(directory_address).await?, outlook.clone()));
     let options = AgentOptions { outlook, ..options };
     lugwharf_agent::run(settings, options).await
 }
--- a/crates/protocol/src/agent.rs
+++ b/crates/protocol/src/agent.rs
@@ -26,7 +26,7 @@
     pub decode: u32,
 }
 
-/// What an agent sends.
+/// What comes to an agent port.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 pub enum AgentRequest {
     /// Asks for whatever is newer than `have`; also this front's heartbeat.
@@ -43,6 +43,11 @@
         /// What the proxy beside it has under way.
         loads: Vec<ServiceLoad>,
     },
+    /// A control process names those that it knows to a seed that may hold no replica. Earlier versions close the link.
+    Announce {
+        /// Their agent addresses.
+        control: Vec<SocketAddr>,
+    },
 }
 
 /// What is newer than the asker's vector.
