Let decode servers read short prompts alone; set figures and switches by a tuning file

Cause: a prompt whose reading or hand-over failed went whole to a decode server, which reads it between the tokens of others at half the pace: one of 14,000 tokens held some 40 streams up for 0.7 to 1.0 s, for a request that was late already. Change: beyond one piece (2,048 tokens) a decode server reads only where there are no prefill servers; else the prompt is read again within the attempts and the budget, or refused with 503 and a time to return.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -46,6 +46,7 @@
 use command::Command;
 use eyre::{Result, WrapErr, eyre};
 use lugwharf_settings::Settings;
+use lugwharf_stages::StageTuning;
 use lugwharf_telemetry::MetricsEndpoint;
 use metrics::Refusals;
 use owner::Owner;
@@ -73,6 +74,8 @@
 pub struct ControlOptions {
     /// A port for `GET /metrics` beside the one of the operator's API; not served there if absent.
     pub metrics_port: Option<u16>,
+    /// The figures of the planning of servers' parts.
+    pub stages: StageTuning,
 }
 
 /// Runs until SIGTERM.
@@ -87,7 +90,7 @@
     let operator_listener = listen(control).await?;
     let (commands, queue) = mpsc::channel(QUEUE);
     let refusals = Refusals::default();
-    let owner = Owner::start(settings.clone(), commands.clone(), &refusals)?;
+    let owner = Owner::start(settings.clone(), options.stages, commands.clone(), &refusals)?;
     let mut owner = tokio::spawn(owner.run(queue));
     tokio::spawn(peers::accept(peer_listener, commands.clone()));
     tokio::spawn(agents::accept(agent_listener, commands.clone()));
--- a/crates/control/src/owner.rs
+++ b/crates/control/src/owner.rs
@@ -19,7 +19,7 @@
 use lugwharf_membership::{Census, CensusSettings};
 use lugwharf_protocol::ConfigRecord;
 use lugwharf_settings::Settings;
-use lugwharf_stages::{Planner, PlannerSettings};
+use lugwharf_stages::{Planner, PlannerSettings, StageTuning};
 use spdlog::prelude::*;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -86,6 +86,7 @@
     commits: Commits,
     loads: Loads,
     stages: Planner,
+    stage_tuning: StageTuning,
     orders: mpsc::Sender<OrderCall>,
     /// What the newest configuration says of model services.
     engines: BTreeMap<String, EngineTerms>,
@@ -124,7 +125,9 @@
 
 impl Owner {
     /// Recovers the state from the disk and starts the threads and tasks that serve it.
-    pub fn start(settings: Settings, commands: mpsc::Sender<Command>, refusals: &Refusals) -> Result<Owner> {
+    pub fn start(
+        settings: Settings, stage_tuning: StageTuning, commands: mpsc::Sender<Command>, refusals: &Refusals,
+    ) -> Result<Owner> {
         let directory = settings.data_dir.clone().ok_or_else(|| eyre!("settings: DataDir is missing"))?;
         let opened = storage::open(&directory, commands.clone(), |records| is_readable(&settings, records))
             .wrap_err_with(|| format!("the log in {}", directory.display()))?;
@@ -160,6 +163,7 @@
             commits: Commits::default(),
             loads: Loads::default(),
             stages: Planner::new(PlannerSettings::default()),
+            stage_tuning,
             orders,
             engines: BTreeMap::new(),
             pulls,
--- a/crates/control/src/owner/stages.rs
+++ b/crates/control/src/owner/stages.rs
@@ -5,15 +5,13 @@
 use crate::orders::OrderCall;
 use lugwharf_config::Configuration;
 use lugwharf_protocol::ServerEntry;
-use lugwharf_stages::OrderAnswer;
 use lugwharf_stages::target::Demand;
+use lugwharf_stages::{OrderAnswer, StageTuning};
 use spdlog::prelude::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::sync::mpsc::error::TrySendError;
 
-/// The share of servers that make tokens at least.
-const LEAST_DECODE_SHARE: f64 = 0.2;
 /// What a server takes to change its part, where the configuration does not say it.
 const DEFAULT_SWITCH: Duration = Duration::from_secs(3);
 
@@ -39,6 +37,9 @@
 impl Owner {
     /// Looks at a fresh listing, service by service.
     pub(super) fn plan_stages(&mut self, now: Duration, entries: &[ServerEntry]) {
+        if !self.stage_tuning.orders {
+            return;
+        }
         let mut services: BTreeMap<&str, Vec<&ServerEntry>> = BTreeMap::new();
         for entry in entries.iter().filter(|entry| entry.stage.is_some()) {
             services.entry(entry.service.as_str()).or_default().push(entry);
@@ -46,7 +47,13 @@
         for (service, servers) in services {
             let Some(terms) = self.engines.get(service) else { continue };
             let decode_in_flight = f64::from(self.loads.decode_in_flight(now, service));
-            let demand = Demand { decode_in_flight, slots: terms.slots, least_share: LEAST_DECODE_SHARE };
+            let StageTuning { least_decode_share, decode_fill, .. } = self.stage_tuning;
+            let demand = Demand {
+                decode_in_flight,
+                slots: terms.slots,
+                least_share: least_decode_share,
+                fill: decode_fill,
+            };
             self.stages.plan(now, service, &servers, &demand);
         }
     }
--- a/crates/control/src/owner_tests.rs
+++ b/crates/control/src/owner_tests.rs
@@ -6,6 +6,7 @@
 use crate::shutdown::Outcome;
 use lugwharf_protocol::{AgentRequest, ControlReply, VersionVector, decode};
 use lugwharf_settings::Settings;
+use lugwharf_stages::StageTuning;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::sync::mpsc::{self, Receiver, Sender};
@@ -35,7 +36,9 @@
 
 fn start(directory: &Path) -> (Owner, Sender<Command>, Receiver<Command>) {
     let (commands, queue) = mpsc::channel(64);
-    let owner = Owner::start(settings(directory), commands.clone(), &Refusals::default()).expect("a start");
+    let owner =
+        Owner::start(settings(directory), StageTuning::default(), commands.clone(), &Refusals::default())
+            .expect("a start");
     (owner, commands, queue)
 }
 
--- a/crates/lugwharf/src/commands.rs
+++ b/crates/lugwharf/src/commands.rs
@@ -1,5 +1,6 @@
 //! The subcommands: what each takes, and what it starts.
 
+use crate::tuning_file::{self, TuningFile};
 use crate::usage::UsageError;
 use crate::{front, logging};
 use eyre::{Result, WrapErr};
@@ -35,7 +36,7 @@
 /// The option of [`PRINT_SCHEMA`] that chooses the other schema.
 const PATCH: &str = "patch";
 
-const COMMANDS: [Command; 6] = [
+const COMMANDS: [Command; 7] = [
     Command {
         name: "proxy",
         is_role: true,
@@ -71,6 +72,13 @@
         summary: "checks a settings file (TOML)",
         run: check_settings,
     },
+    Command {
+        name: "check-tuning",
+        is_role: false,
+        operand: Operand::File,
+        summary: "checks a file for --tuning (TOML)",
+        run: check_tuning,
+    },
     Command {
         name: PRINT_SCHEMA,
         is_role: false,
@@ -138,6 +146,7 @@
         "LEVEL",
     );
     options.optopt("m", "metrics", "serve GET /metrics on this port of the machine's address", "PORT");
+    options.optopt("t", tuning_file::OPTION, "a file with figures and switches of the decisions", "FILE");
     options.optopt("s", "settings", "the settings file, if not the one in LUGWHARF_BOOT", "FILE");
     options
 }
@@ -189,17 +198,19 @@
 
 fn run_proxy(matches: &Matches) -> Result<()> {
     let metrics_port = metrics_port(matches)?;
-    let options = ProxyOptions { metrics_port, ..ProxyOptions::default() };
+    let tuning = TuningFile::of(matches)?.routing;
+    let options = ProxyOptions { metrics_port, tuning, ..ProxyOptions::default() };
     block_on(lugwharf_proxy::run_with(settings(matches)?, options))
 }
 
 fn run_agent(matches: &Matches) -> Result<()> {
     let options = AgentOptions { metrics_port: metrics_port(matches)?, ..AgentOptions::default() };
-    front::run_agent(settings(matches)?, options)
+    front::run_agent(settings(matches)?, options, TuningFile::of(matches)?.stages)
 }
 
 fn run_control(matches: &Matches) -> Result<()> {
-    let options = ControlOptions { metrics_port: metrics_port(matches)? };
+    let stages = TuningFile::of(matches)?.stages;
+    let options = ControlOptions { metrics_port: metrics_port(matches)?, stages };
     block_on(lugwharf_control::run(settings(matches)?, options))
 }
 
@@ -233,6 +244,13 @@
     Ok(())
 }
 
+fn check_tuning(matches: &Matches) -> Result<()> {
+    let path = file(matches);
+    let tuning = TuningFile::read(Path::new(path))?;
+    println!("{path}: {tuning:?}");
+    Ok(())
+}
+
 fn print_schema(matches: &Matches) -> Result<()> {
     let schema = if matches.opt_present(PATCH) { PATCH_SCHEMA } else { SCHEMA };
     let mut out = std::io::stdout().lock();
--- a/crates/lugwharf/src/front.rs
+++ b/crates/lugwharf/src/front.rs
@@ -9,6 +9,7 @@
 use lugwharf_agent::{AgentOptions, Outlook, directory};
 use lugwharf_control::{ControlOptions, gateway};
 use lugwharf_settings::{ControlPlacement, Settings};
+use lugwharf_stages::StageTuning;
 use spdlog::prelude::*;
 use std::net::SocketAddr;
 use std::thread::{self, JoinHandle};
@@ -22,12 +23,12 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 
 /// Runs the agent until SIGTERM. A hosted replica parts from the others meanwhile, and is waited for.
-pub fn run_agent(settings: Settings, options: AgentOptions) -> Result<()> {
+pub fn run_agent(settings: Settings, options: AgentOptions, stages: StageTuning) -> Result<()> {
     match settings.control_placement().wrap_err("settings")? {
         ControlPlacement::None => block_on(lugwharf_agent::run(settings, options)),
         ControlPlacement::Gateway(address) => block_on(run_with_gateway(settings, options, address)),
         ControlPlacement::Replica => {
-            let replica = host_replica(settings.clone())?;
+            let replica = host_replica(settings.clone(), stages)?;
             let result = block_on(lugwharf_agent::run(settings, options));
             if result.is_ok() && replica.join().is_err() {
                 error!("hosted_replica", kv: { outcome = "panicked" });
@@ -63,10 +64,11 @@
 }
 
 /// Starts a thread that runs a replica until SIGTERM.
-fn host_replica(settings: Settings) -> Result<JoinHandle<()>> {
+fn host_replica(settings: Settings, stages: StageTuning) -> Result<JoinHandle<()>> {
+    let options = ControlOptions { stages, ..ControlOptions::default() };
     let run = move || {
         let mut pause = FIRST_PAUSE;
-        while let Err(error) = block_on(lugwharf_control::run(settings.clone(), ControlOptions::default())) {
+        while let Err(error) = block_on(lugwharf_control::run(settings.clone(), options.clone())) {
             error!("hosted_replica", kv: { outcome = "failed", error: = format!("{error:#}") });
             thread::sleep(pause);
             pause = (pause * 2).min(LONGEST_PAUSE);
--- a/crates/lugwharf/src/main.rs
+++ b/crates/lugwharf/src/main.rs
@@ -4,6 +4,7 @@
 mod commands;
 mod front;
 mod logging;
+mod tuning_file;
 mod usage;
 
 use std::process::ExitCode;
--- a/crates/lugwharf/tests/command_line.rs
+++ b/crates/lugwharf/tests/command_line.rs
@@ -83,7 +83,7 @@
 }
 
 #[rstest]
-#[case::overview(&["--help"], &["proxy", "agent", "control", "check-config", "check-settings", "print-schema", "Exit status"])]
+#[case::overview(&["--help"], &["proxy", "agent", "control", "check-config", "check-settings", "check-tuning", "print-schema", "Exit status"])]
 #[case::overview_by_word(&["help"], &["print-schema"])]
 #[case::proxy(&["proxy", "--help"], &["lugwharf proxy", "--log", "--settings"])]
 #[case::agent(&["agent", "-h"], &["lugwharf agent", "--log", "--settings"])]
@@ -168,6 +168,36 @@
     assert_ends(&run(&arguments), FAILURE, &["DataDir", "missing"]);
 }
 
+#[rstest]
+#[case::figures("[routing]\ntau_ms = 900\ndraws_two = false\n[stages]\nleast_decode_share = 0.3\n", &["tau: 900ms", "draws_two: false", "0.3"])]
+#[case::names("[routing]\nnormalisation = \"plain\"\nsticky_key = \"most_tokens\"\n", &["Plain", "MostTokens"])]
+#[case::nothing("", &["tau: 2.5s", "draws_two: true"])]
+fn a_good_tuning_is_summed_up(#[case] text: &str, #[case] wanted: &[&str]) {
+    let file = File::new(&format!("good-{}.toml", wanted[0].len()), text);
+    let output = run(&["check-tuning", file.path()]);
+    assert_eq!(output.status.code(), Some(SUCCESS), "{output:?}");
+    wanted.iter().for_each(|part| assert!(stdout(&output).contains(part), "{part:?}: {}", stdout(&output)));
+}
+
+#[rstest]
+#[case::unknown_switch("[routing]\ndraws_three = true\n", "draws_three")]
+#[case::unknown_part("[elsewhere]\n", "elsewhere")]
+#[case::wrong_type("[routing]\ntau_ms = \"soon\"\n", "tau_ms")]
+#[case::wrong_name("[routing]\nsticky_key = \"any\"\n", "any")]
+fn a_bad_tuning_is_told_with_its_place(
+    #[case] text: &str, #[case] wanted: &str,
+    #[values("check-tuning", "proxy", "agent", "control")] command: &str,
+) {
+    let tuning = File::new(&format!("bad-{command}-{wanted}.toml"), text);
+    let settings =
+        File::new(&format!("settings-{command}-{wanted}.toml"), &SettingsSpec::default().to_toml());
+    let arguments = match command {
+        "check-tuning" => vec![command, tuning.path()],
+        role => vec![role, "--settings", settings.path(), "--tuning", tuning.path()],
+    };
+    assert_ends(&run(&arguments), FAILURE, &[wanted, tuning.path()]);
+}
+
 #[rstest]
 fn a_file_that_is_not_there_is_named_once(#[values("check-config", "check-settings")] tool: &str) {
     let output = run(&[tool, "/nonexistent/file"]);
--- a/crates/proxy/src/generate.rs
+++ b/crates/proxy/src/generate.rs
@@ -53,7 +53,8 @@
         if !job.attempts.may_run() {
             return Err(job.give_up(Refusal::Full));
         }
-        let handle = if pairs { read_prompt(job, extra).await? } else { None };
+        let reads = pairs || !may_read_after_failure(job);
+        let handle = if reads { read_prompt(job, extra).await? } else { None };
         // Whatever becomes of this handle, a second reading would be one more extra call.
         pairs = false;
         if let Some(taken) = decode(job, extra, handle).await? {
@@ -78,19 +79,20 @@
     job: &mut Job<'_>, extra: &Extra, tried: &mut Vec<ServerKey>,
 ) -> Result<Option<Prefill>, Refusal> {
     if !job.attempts.may_prefill() || !job.may_try() || tried.len() >= MOST_READERS {
-        return Ok(Some(Prefill::Skip));
+        return read_by_decode(job);
     }
     let ask = Ask { part: Part::Prefill, zone: &job.shared.zone, excluded: tried };
     let choice = match job.choose(&ask) {
         Ok(choice) => choice,
-        Err(NoChoice::Absent) => return Ok(Some(Prefill::Skip)),
+        Err(NoChoice::Absent) if tried.is_empty() => return Ok(Some(Prefill::Skip)),
+        Err(NoChoice::Absent) => return read_by_decode(job),
         Err(NoChoice::Full) => return Err(job.give_up(Refusal::Full)),
     };
     if job.is_hopeless(&choice) && job.attempts.is_unrun() {
         return Err(Refusal::Full);
     }
     if !job.may_arrive() {
-        return Ok(Some(Prefill::Skip));
+        return read_by_decode(job);
     }
     tried.push(choice.key);
     let extra =
@@ -107,6 +109,23 @@
     }
 }
 
+/// No other prefill server may be asked: a decode server reads the prompt if it is short. It reads between the tokens of others,
+/// so that a long one would hold up every stream there for longer than pauses may last, for a request that is late already.
+fn read_by_decode(job: &Job<'_>) -> Result<Option<Prefill>, Refusal> {
+    let most = job.shared.balancer.borrow().tuning().decode_reads_at_most;
+    if job.prompt.tokens_in > most {
+        return Err(job.give_up(Refusal::Full));
+    }
+    Ok(Some(Prefill::Skip))
+}
+
+/// Whether a decode server reads the prompt itself after hand-overs have failed.
+fn may_read_after_failure(job: &Job<'_>) -> bool {
+    let balancer = job.shared.balancer.borrow();
+    let tuning = balancer.tuning();
+    tuning.decode_reads_after_failures || job.prompt.tokens_in <= tuning.decode_reads_at_most
+}
+
 /// The rank of a prompt by its length, 0 for the shortest: reading a long one takes hundreds of milliseconds, in which short
 /// ones that wait behind it become late.
 fn rank(tokens: u32) -> u8 {
--- a/crates/proxy/src/job.rs
+++ b/crates/proxy/src/job.rs
@@ -24,9 +24,6 @@
 /// The objective where the route states none.
 const DEFAULT_OBJECTIVE: Duration = Duration::from_millis(500);
 
-/// Whether requests to model servers carry the rank of their route as `Priority`.
-const PASSES_PRIORITY: bool = true;
-
 /// A request with all that its sends need.
 pub struct Job<'a> {
     /// What all tasks share.
@@ -139,7 +136,7 @@
 
     /// What a send adds, before it is told more.
     pub fn extra(&self) -> Extra {
-        let passes = PASSES_PRIORITY && self.is_model;
+        let passes = self.is_model && self.shared.balancer.borrow().tuning().passes_priority;
         Extra { priority: passes.then(|| self.route.priority.min(9)), ..Extra::default() }
     }
 
@@ -159,7 +156,8 @@
 
     /// Refused early: the server chosen is more than half full by its own report, and would take longer than there is time.
     pub fn is_hopeless(&self, choice: &Choice) -> bool {
-        choice.is_busy && choice.estimate > self.left()
+        let refuses = self.shared.balancer.borrow().tuning().refuses_early;
+        refuses && choice.is_busy && choice.estimate > self.left()
     }
 
     /// Pays for the next arrival, if it has to be paid for. What was paid and not used stays paid.
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -112,7 +112,8 @@
 
 /// The next run of a stream that was cut, if there may be one. The answer keeps the head of its first server.
 async fn resume(job: &mut Job<'_>, events: &mut Events, extra: &mut Extra) -> Option<Taken> {
-    if !job.attempts.may_run() || !events.can_resume() {
+    let resumes = job.shared.balancer.borrow().tuning().resumes_streams;
+    if !resumes || !job.attempts.may_run() || !events.can_resume() {
         return None;
     }
     events.resume();
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -44,12 +44,13 @@
 impl Shared {
     /// Before anything is known.
     pub fn new(settings: &Settings, tuning: Tuning, seed: u64) -> Rc<Shared> {
+        let pool = if tuning.keeps_connections { Pool::default() } else { Pool::keeping_none() };
         let balancer = Balancer::new(tuning, terms(&settings.bounds), seed);
         let body_most = settings.limits.memory_mb.max(16) * 1024 * 1024 / BODIES_SHARE;
         Rc::new(Shared {
             zone: settings.zone.clone(),
             balancer: RefCell::new(balancer),
-            pool: Pool::default(),
+            pool,
             body_room: Cell::new(body_most),
             body_most,
             figures: Figures::default(),
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -30,9 +30,15 @@
 pub struct Pool {
     entries: RefCell<HashMap<ServerKey, Entry>>,
     next_id: Cell<u64>,
+    keeps_none: bool,
 }
 
 impl Pool {
+    /// One that closes each connection after its request.
+    pub fn keeping_none() -> Pool {
+        Pool { keeps_none: true, ..Pool::default() }
+    }
+
     /// The connection used last that is still good, and is none of `barred`.
     pub fn take(&self, key: ServerKey, idempotent: bool, barred: &[ConnectionId]) -> Option<Connection> {
         let mut entries = self.entries.borrow_mut();
@@ -68,7 +74,7 @@
     pub fn put(&self, key: ServerKey, connection: Connection) {
         let mut entries = self.entries.borrow_mut();
         let Some(entry) = entries.get_mut(&key) else { return };
-        if entry.idle.len() < IDLE_EACH {
+        if entry.idle.len() < IDLE_EACH && !self.keeps_none {
             entry.idle.push(connection);
         }
     }
--- a/crates/proxy/tests/pairs.rs
+++ b/crates/proxy/tests/pairs.rs
@@ -206,6 +206,104 @@
     .await;
 }
 
+/// The fields of a prompt that a decode server would read for longer than the streams of others may pause.
+const LONG: &str = "Token-Counts: 9000,10\r\n";
+/// Of one that it reads in one piece.
+const SHORT: &str = "Token-Counts: 900,10\r\n";
+
+/// Where the reading failed and no other server may be asked, a decode server reads what is short; the rest is told to come
+/// back, and has not run.
+#[rstest]
+#[case::short(SHORT, true)]
+#[case::long(LONG, false)]
+#[tokio::test]
+async fn a_decode_server_reads_short_prompts_alone(#[case] prompt: &str, #[case] is_read: bool) {
+    with_world(paired(r#","MaxAttempts":1"#, &["p", "q"], &["d"]), async |world| {
+        let mut client = world.ask("r1", prompt).await;
+        let (mut server, _) = world.accept_either("p", "q").await;
+        assert!(server.message().await.is_some());
+        server.reset();
+        let refused = tokio::select! {
+            _ = world.accept("d") => None,
+            got = client.message() => got,
+        };
+        assert_eq!(refused.is_none(), is_read);
+        if let Some(got) = refused {
+            assert_eq!(got.status(), 503);
+            assert!(got.header("retry-after").is_some());
+        }
+    })
+    .await;
+}
+
+/// The same where the budget does not pay for another reading.
+#[tokio::test]
+async fn without_budget_a_long_prompt_that_was_turned_away_is_refused() {
+    let setup = Setup { retry_budget: 0.0, ..paired("", &["p", "q"], &["d"]) };
+    with_world(setup, async |world| {
+        let mut client = world.ask("r1", LONG).await;
+        let (mut server, _) = world.accept_either("p", "q").await;
+        assert!(server.message().await.is_some());
+        server.send(&not_executed("r1", 503)).await;
+        let got = tokio::select! {
+            got = client.message() => got.expect("an answer"),
+            _ = world.accept("d") => panic!("a decode server reads a long prompt"),
+        };
+        assert_eq!(got.status(), 503);
+    })
+    .await;
+}
+
+/// A long prompt whose memory two servers turned away is read once more by a prefill server, within the attempts.
+#[rstest]
+#[case::one(1, false)]
+#[case::three(3, true)]
+#[tokio::test]
+async fn a_long_prompt_whose_memory_nobody_took_is_read_by_a_prefill_server_or_refused(
+    #[case] attempts: u32, #[case] is_read: bool,
+) {
+    let more = format!(r#","MaxAttempts":{attempts}"#);
+    with_world(paired(&more, &["p", "q"], &["d", "e", "f"]), async |world| {
+        let mut client = world.ask("r1", LONG).await;
+        let (mut kept, _) = world.accept_either("p", "q").await;
+        assert!(kept.message().await.is_some());
+        kept.send(&prefilled("one")).await;
+        for _ in 0..2 {
+            let mut server = tokio::select! {
+                (peer, _) = world.accept_either("d", "e") => peer,
+                peer = world.accept("f") => peer,
+            };
+            assert!(server.message().await.expect("a request").header("kv-from").is_some());
+            server.send(&not_executed("r1", 503)).await;
+        }
+        is_freed(&mut kept, "one").await;
+        let status = tokio::select! {
+            seen = kept.message() => {
+                assert_eq!(seen.expect("a request").header("serving-stage"), Some("prefill"));
+                None
+            }
+            (mut peer, _) = world.accept_either("p", "q") => {
+                assert_eq!(peer.message().await.expect("a request").header("serving-stage"), Some("prefill"));
+                None
+            }
+            got = client.message() => got.map(|got| got.status()),
+        };
+        assert_eq!(status, if is_read { None } else { Some(503) });
+    })
+    .await;
+}
+
+/// Where no server is there to read prompts, decode servers read all of them.
+#[tokio::test]
+async fn a_decode_server_reads_long_prompts_where_nobody_else_does() {
+    with_world(paired("", &[], &["d"]), async |world| {
+        let _client = world.ask("r1", LONG).await;
+        let mut decoder = world.accept("d").await;
+        assert_eq!(decoder.message().await.expect("a request").header("serving-stage"), None);
+    })
+    .await;
+}
+
 /// An unsafe stream whose decode server is silent to the end has its answer, and goes nowhere else.
 #[tokio::test]
 async fn an_unsafe_stream_over_time_is_not_sent_again() {
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -166,7 +166,8 @@
     pub fn observed(&mut self, now: Duration, key: ServerKey, part: Part, sample: Sample) {
         let Some(server) = self.servers.get_mut(&key) else { return };
         if let Some(time) = value(sample, part, &self.tuning) {
-            server.parts[part.index()].latency.fold(now, self.tuning.tau, time);
+            let tuning = &self.tuning;
+            server.parts[part.index()].latency.fold(now, tuning.tau, time, tuning.rises_at_once);
         }
         match sample {
             Sample::Answered { .. } => server.ejection.succeeded(),
@@ -176,7 +177,7 @@
                 server.told_full(now, &self.tuning);
             }
             Sample::Failed { failure, .. } => {
-                if server.ejection.failed(failure, &self.tuning) {
+                if server.ejection.failed(failure, &self.tuning) && self.tuning.ejects {
                     self.eject(now, key);
                 }
             }
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -101,7 +101,7 @@
         &mut self, now: Duration, query: &Query<'_>, pool: &mut [ServerKey], typical: f64,
     ) -> Option<Candidate> {
         let home = self.home_first(query.zone, pool);
-        if home == 0 || home == pool.len() {
+        if home == 0 || home == pool.len() || !self.tuning.prefers_home {
             return self.random_pair(now, query, pool, typical);
         }
         let at_home = self.random_pair(now, query, &pool[..home], typical)?;
@@ -118,7 +118,7 @@
     fn steered(
         &self, now: Duration, query: &Query<'_>, pool: &[ServerKey], typical: f64,
     ) -> Option<Candidate> {
-        if query.part != Part::Prefill {
+        if query.part != Part::Prefill || !self.tuning.steers {
             return None;
         }
         let key = self.sticky_key(query.prompt)?;
@@ -176,7 +176,7 @@
         }
         let first = self.rng.usize(..count);
         let one = self.candidate(now, query, pool[first], typical)?;
-        if count == 1 {
+        if count == 1 || !self.tuning.draws_two {
             return Some(one);
         }
         // The second from the others: moved past the first, so that the two are distinct.
@@ -252,6 +252,9 @@
     /// The median of what is known in this part of the service, in ms: what a server without samples starts at.
     fn typical(&mut self, now: Duration, query: &Query<'_>) -> f64 {
         let index = query.part.index();
+        if !self.tuning.starts_at_median {
+            return OPTIMISTIC_MS;
+        }
         let Some(pool) = self.services.get(query.service) else { return OPTIMISTIC_MS };
         let held = pool.typical[index];
         if now < held.until {
--- a/crates/routing/src/ewma.rs
+++ b/crates/routing/src/ewma.rs
@@ -10,15 +10,15 @@
 }
 
 impl PeakEwma {
-    /// Folds a sample in: one above the average replaces it at once, a lower one pulls it down by timed decay,
-    /// `exp(-dt / tau)`.
-    pub fn fold(&mut self, now: Duration, tau: Duration, sample: f64) {
+    /// Folds a sample in: one above the average replaces it at once if it `rises_at_once`, a lower one pulls it down by timed
+    /// decay, `exp(-dt / tau)`.
+    pub fn fold(&mut self, now: Duration, tau: Duration, sample: f64, rises_at_once: bool) {
         if !sample.is_finite() || sample < 0.0 {
             return;
         }
         let keep = self.kept(now, tau);
         self.value = Some(match self.value {
-            Some(value) if sample < value => value * keep + sample * (1.0 - keep),
+            Some(value) if sample < value || !rises_at_once => value * keep + sample * (1.0 - keep),
             _ => sample,
         });
         self.updated = now;
--- a/crates/routing/src/sample.rs
+++ b/crates/routing/src/sample.rs
@@ -105,7 +105,8 @@
 pub(crate) fn value(sample: Sample, part: Part, tuning: &Tuning) -> Option<f64> {
     let (took, work) = match sample {
         Sample::Answered { took, work } => (took, work),
-        Sample::Failed { took, timeout, work, .. } => (took.max(timeout), work),
+        Sample::Failed { took, timeout, work, .. } if tuning.samples_failures => (took.max(timeout), work),
+        Sample::Failed { .. } => return None,
         Sample::Rejected | Sample::Void => return None,
     };
     Some(took.as_secs_f64() * 1e3 / work.units(part, tuning))
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -110,7 +110,8 @@
         });
         let full = if report.is_some_and(|report| report.is_full()) { tuning.full_factor } else { 1.0 };
         let cold = if now < self.cold_until { tuning.cold_factor } else { 1.0 };
-        latency * (f64::from(state.in_flight) + others + 1.0) * full * cold
+        let own = if tuning.counts_in_flight { f64::from(state.in_flight) } else { 0.0 };
+        latency * (own + others + 1.0) * full * cold
     }
 
     /// The average as of now, in ms for each unit of work.
--- a/crates/routing/tests/score.rs
+++ b/crates/routing/tests/score.rs
@@ -21,7 +21,7 @@
 fn the_average_rises_at_once_and_falls_by_time(#[case] samples: &[(u64, f64)], #[case] expected: f64) {
     let mut average = PeakEwma::default();
     for (at, sample) in samples {
-        average.fold(ms(*at), TAU, *sample);
+        average.fold(ms(*at), TAU, *sample, true);
     }
     let value = average.value().expect("a value");
     assert!((value - expected).abs() < 1e-3, "{value} instead of {expected}");
@@ -31,7 +31,7 @@
 fn old_news_fades_towards_what_is_typical() {
     let mut average = PeakEwma::default();
     assert_eq!(average.current(ms(0), TAU, 7.0), 7.0, "no samples: typical");
-    average.fold(ms(0), TAU, 1_000.0);
+    average.fold(ms(0), TAU, 1_000.0, true);
     assert_eq!(average.current(ms(0), TAU, 7.0), 1_000.0);
     assert!(average.current(ms(100_000), TAU, 7.0) < 8.0);
 }
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -13,5 +13,7 @@
 
 mod planner;
 pub mod target;
+mod tuning;
 
 pub use planner::{Order, OrderAnswer, Planner, PlannerSettings};
+pub use tuning::StageTuning;
--- a/crates/stages/src/target.rs
+++ b/crates/stages/src/target.rs
@@ -5,10 +5,6 @@
 
 use std::collections::BTreeMap;
 
-/// The share of the places of decode servers that may be taken: the rest is for bursts and for servers that are lost. A full
-/// batch makes tokens at half the pace of an empty one, which is many times faster than pauses may last.
-const DECODE_FILL: f64 = 0.6;
-
 /// What the size of the parts depends on.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Demand {
@@ -19,6 +15,8 @@
     /// The share of servers that decode gets at least: a hand-over of memory occupies a server's link, and few links would
     /// be busy links.
     pub least_share: f64,
+    /// The share of the places of decode servers that may be taken.
+    pub fill: f64,
 }
 
 /// The number of decode servers by zone. Each zone with two servers or more keeps one of either part, so that memory need not
@@ -53,7 +51,7 @@
 /// Decode servers over all zones.
 fn wanted(all: usize, demand: &Demand) -> usize {
     let by_share = (all as f64 * demand.least_share.clamp(0.0, 1.0)).ceil();
-    let places = f64::from(demand.slots.max(1)) * DECODE_FILL;
+    let places = f64::from(demand.slots.max(1)) * demand.fill.max(0.01);
     let by_load = (demand.decode_in_flight.max(0.0) / places).ceil();
     by_share.max(by_load).min(all as f64) as usize
 }
--- a/crates/stages/tests/planner.rs
+++ b/crates/stages/tests/planner.rs
@@ -14,7 +14,7 @@
 }
 
 fn demand(decode_in_flight: f64) -> Demand {
-    Demand { decode_in_flight, slots: 64, least_share: 0.25 }
+    Demand { decode_in_flight, slots: 64, least_share: 0.25, fill: 0.6 }
 }
 
 fn server(number: u16, zone: &str, stage: Stage) -> ServerEntry {
