Hold the last byte back on every connection that has rested, also for what may be repeated

Cause: servers may forget connections after some 300 ms of rest; the guard began at 500 ms, and left out what may be repeated, whose sends then broke one after the other until its attempts were used up. Ruled out: the rig (requests were reset before they were read, on connections that had rested 300 ms). Change: kept connections are doubted after 250 ms, counted from the head of their last answer, as a slow client may take the rest long after the server is done; the last byte then waits 2 ms whatever the request.

--- a/crates/emulator/src/host/connection.rs
+++ b/crates/emulator/src/host/connection.rs
@@ -8,12 +8,17 @@
 use crate::wire::{Answer, Connection, Request, chunk};
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 /// An id that no client sends.
 const FOREIGN_ID: &str = "f0f0f0f0f0f0f0f0";
 
+/// A server that forgets connections forgets those that have rested for so long.
+const FORGOTTEN_AFTER: Duration = Duration::from_millis(300);
+
 /// What becomes of a connection after a request.
 enum After {
     Keep,
@@ -36,8 +41,12 @@
 }
 
 async fn serve_requests<C: ServerCore>(shared: &Shared<C>, connection: &mut Connection) -> After {
+    let mut is_kept = false;
     loop {
         shared.lit().await;
+        if std::mem::replace(&mut is_kept, true) && is_forgotten(shared, connection).await {
+            return After::Reset;
+        }
         let read = tokio::time::timeout(shared.options.idle, connection.read_request()).await;
         shared.lit().await;
         let request = match read {
@@ -56,6 +65,14 @@
     }
 }
 
+/// Whether a kept connection is forgotten by the time at which something comes on it.
+async fn is_forgotten<C: ServerCore>(shared: &Shared<C>, connection: &mut Connection) -> bool {
+    let rested_since = tokio::time::Instant::now();
+    let came = tokio::time::timeout(shared.options.idle, connection.fill()).await;
+    let has_come = matches!(came, Ok(Ok(bytes)) if bytes > 0);
+    has_come && rested_since.elapsed() >= FORGOTTEN_AFTER && shared.forgets.load(Ordering::Relaxed)
+}
+
 async fn serve_request<C: ServerCore>(
     shared: &Shared<C>, connection: &mut Connection, request: Request,
 ) -> io::Result<After> {
--- a/crates/emulator/src/host/mod.rs
+++ b/crates/emulator/src/host/mod.rs
@@ -13,6 +13,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -49,6 +50,8 @@
     calls: Mutex<HashMap<CallId, OpenCall>>,
     faults: Mutex<FaultPlan>,
     reach: watch::Sender<Reach>,
+    /// Whether it forgets connections that rest.
+    forgets: AtomicBool,
     wake: Notify,
     world: World,
     options: HostOptions,
@@ -210,6 +213,7 @@
             calls: Mutex::default(),
             faults: Mutex::default(),
             reach: watch::Sender::new(Reach::Open),
+            forgets: AtomicBool::new(false),
             wake: Notify::new(),
             world: world.clone(),
             options,
@@ -246,6 +250,12 @@
         self.shared.reach.send_replace(reach);
     }
 
+    /// Lets the server forget its connections between two requests without a word: what is sent on one next is reset before
+    /// anybody reads it.
+    pub fn forget_connections(&self, forgets: bool) {
+        self.shared.forgets.store(forgets, Ordering::Relaxed);
+    }
+
     /// Gives the server an event of its own, such as [`ServerEvent::Drain`].
     pub fn tell(&self, event: ServerEvent) {
         self.shared.dispatch(event);
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -82,6 +82,9 @@
     pub is_reused: bool,
     /// Since when it rests.
     pub idle_since: Instant,
+    /// Since when its server may have been done with it: the last answer's head had come. The rest of the answer may have waited
+    /// for a slow client while the server was done.
+    pub doubtful_since: Instant,
     /// The server closes it then, as far as it told.
     pub closes_at: Option<Instant>,
     /// It carries no further request: the last one did not go out whole, or an answer that is still owed on it could be taken
@@ -101,6 +104,7 @@
             buffer,
             is_reused: false,
             idle_since,
+            doubtful_since: idle_since,
             closes_at: None,
             must_close: false,
             open,
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -23,10 +23,11 @@
 const DEADLINE_MARGIN: Duration = Duration::from_millis(10);
 /// With less than this left nothing is sent.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
-/// How long the last byte of a request that can't be repeated is held back on a connection that is new, or has rested for
-/// [`RESTED`]: the reset by a server that is full, or has just closed it, arrives meanwhile.
+/// How long the last byte of a request is held back on a connection that may be dead: the reset by a server that is full, or has
+/// closed or forgotten it, arrives meanwhile.
 const HOLD_BACK: Duration = Duration::from_millis(2);
-const RESTED: Duration = Duration::from_millis(500);
+/// A kept connection may be dead once it has rested for so long: servers may forget it without a word after some 300 ms.
+const RESTED: Duration = Duration::from_millis(250);
 /// Errors of Linux by which a process is short of memory, descriptors (of its own and of the machine), addresses or buffers.
 const OWN_SHORTAGES: [i32; 5] = [12, 23, 24, 99, 105];
 /// Bytes of answers to other requests that are read over at most.
@@ -141,7 +142,7 @@
             return Err(Fault::Late);
         }
         let head = outbound.encode(&server.id, left - DEADLINE_MARGIN, extra);
-        let hold_back = hold_back(&terms, connection.is_reused, connection.idle_since.elapsed());
+        let hold_back = hold_back(&terms, connection.is_reused, connection.doubtful_since.elapsed());
         outbound.carriers.push(connection.id());
         connection.must_close = !outbound.shares_connections();
         let sent = Instant::now();
@@ -193,11 +194,12 @@
     if is_own { Fault::Moot } else { Fault::Connect }
 }
 
-/// How long the last byte of a request is held back on a connection that may be dead.
+/// How long the last byte of a request is held back on a connection that may be dead. On a kept one also if the request may be
+/// repeated: each send that breaks uses one of its attempts up. New ones that are reset are rare, and cost it less than the wait.
 pub fn hold_back(terms: &Terms, is_reused: bool, rested: Duration) -> Option<Duration> {
     let may_repeat = terms.idempotent || terms.part == Part::Prefill;
-    let may_be_dead = !is_reused || rested >= RESTED;
-    (!may_repeat && may_be_dead).then_some(HOLD_BACK)
+    let may_be_dead = if is_reused { rested >= RESTED } else { !may_repeat };
+    may_be_dead.then_some(HOLD_BACK)
 }
 
 async fn answer(
@@ -206,6 +208,7 @@
 ) -> Result<Answered, Fault> {
     let read = read_own_head(&mut connection, outbound);
     let head = timeout_at(terms.by, read).await.map_err(|_| Fault::Timeout)?.map_err(|_| Fault::Broken)?;
+    connection.doubtful_since = Instant::now();
     let framing = response_framing(&head, outbound.is_head).map_err(|_| Fault::Broken)?;
     note_report(shared, key, &head);
     Ok(Answered { head, framing, decoder: BodyDecoder::new(framing), connection, key, sent })
--- a/crates/proxy/src/upstream/exchange_tests.rs
+++ b/crates/proxy/src/upstream/exchange_tests.rs
@@ -53,11 +53,13 @@
 #[rstest]
 #[case::new(false, Part::Whole, false, 0, true)]
 #[case::new_decode(false, Part::Decode, false, 0, true)]
-#[case::rested(false, Part::Whole, true, 500, true)]
-#[case::just_used(false, Part::Whole, true, 499, false)]
+#[case::rested(false, Part::Whole, true, 250, true)]
+#[case::just_used(false, Part::Whole, true, 249, false)]
 #[case::may_repeat(true, Part::Whole, false, 0, false)]
-#[case::may_repeat_rested(true, Part::Whole, true, 500, false)]
+#[case::may_repeat_rested(true, Part::Whole, true, 250, true)]
+#[case::may_repeat_just_used(true, Part::Whole, true, 249, false)]
 #[case::a_reading(false, Part::Prefill, false, 0, false)]
+#[case::a_reading_rested(false, Part::Prefill, true, 250, true)]
 #[tokio::test]
 async fn what_is_held_back(
     #[case] idempotent: bool, #[case] part: Part, #[case] is_reused: bool, #[case] rested: u64,
@@ -144,12 +146,15 @@
 #[case::some(3, true)]
 #[case::too_many(4, false)]
 #[tokio::test]
-async fn dead_connections_are_left_for_others(#[case] dead: usize, #[case] is_sent: bool) {
+async fn dead_connections_are_left_for_others(
+    #[case] dead: usize, #[case] is_sent: bool,
+    #[values(rested, slowly_relayed)] age: fn(Connection) -> Connection,
+) {
     let (shared, listener) = world().await;
     let mut peers = Vec::new();
     for _ in 0..dead {
         let (connection, peer) = connected(&shared, &listener).await;
-        shared.pool.put(key(&shared), rested(connection));
+        shared.pool.put(key(&shared), age(connection));
         peers.push(peer);
     }
     let mut outbound = request(4);
@@ -197,6 +202,14 @@
 fn rested(connection: Connection) -> Connection {
     let mut connection = connection.rest().expect("clean");
     connection.idle_since -= Duration::from_millis(600);
+    connection.doubtful_since -= Duration::from_millis(600);
+    connection
+}
+
+/// One whose last answer took its client as long to take: its server may have been done with it all the while.
+fn slowly_relayed(connection: Connection) -> Connection {
+    let mut connection = connection.rest().expect("clean");
+    connection.doubtful_since -= Duration::from_millis(600);
     connection
 }
 
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -107,6 +107,8 @@
     AnswersSurplus => "answers_surplus",
     /// Streams are broken off in the middle of an event.
     StreamsCut => "streams_cut",
+    /// Servers forget kept connections without a word; what is sent on one next is reset.
+    IdleRace => "idle_race",
     /// Two operators send different changes on one version.
     ConfigRace => "config_race",
     /// Configurations come in quick succession.
@@ -129,7 +131,10 @@
 
     /// Whether the list of servers may reach the fronts late.
     pub fn delays_lists(self) -> bool {
-        let harmless = matches!(self, Kind::Reload | Kind::ConfigRace | Kind::ConfigBurst | Kind::Crowd);
+        let harmless = matches!(
+            self,
+            Kind::Reload | Kind::ConfigRace | Kind::ConfigBurst | Kind::Crowd | Kind::IdleRace
+        );
         !harmless && !self.harms_servers()
     }
 
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -139,6 +139,17 @@
         }
     }
 
+    /// Lets all servers forget connections between two requests, or no longer.
+    pub fn forget_connections(&self, forgets: bool) {
+        for server in &self.servers {
+            match &server.running {
+                Some(Running::Model(host)) => host.forget_connections(forgets),
+                Some(Running::Plain(host)) => host.forget_connections(forgets),
+                None => {}
+            }
+        }
+    }
+
     /// Adds a fault at all servers, for so many requests each.
     pub fn inject(&self, fault: &Fault, times: usize) {
         for server in &self.servers {
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -116,6 +116,7 @@
                 fleet.inject(&Fault::WrongId, 1);
             }
             Kind::StreamsCut => fleet.inject(&Fault::CutStream { after_events: 1, reset: true }, FAULTS_EACH),
+            Kind::IdleRace => fleet.forget_connections(true),
             // Operators that have stopped wish for nothing more.
             Kind::ConfigRace => drop(wishes.send(Wish::Race)),
             Kind::ConfigBurst => drop(wishes.send(Wish::Burst)),
@@ -169,6 +170,7 @@
             Kind::AnswersLost | Kind::AnswersGarbled | Kind::AnswersSurplus | Kind::StreamsCut => {
                 fleet.clear_faults();
             }
+            Kind::IdleRace => fleet.forget_connections(false),
             _ => {}
         }
         Ok(End::Over)
