Let a decode server read a long prompt whose stream is to be resumed

Ruled out: the load; the test fails on its own too. Change: the limit holds only for what has not run and may be told to come back.

--- a/crates/lugwharf/tests/without_core.rs
+++ b/crates/lugwharf/tests/without_core.rs
@@ -128,6 +128,24 @@
     }
 }
 
+/// The replica of a machine fails at each start, as its log can't be opened; the agent feeds its proxy all the while, and the
+/// replica comes back by itself once the disk is well.
+#[tokio::test]
+async fn an_agent_outlives_the_replica_that_it_hosts() {
+    let mut fleet = start().await;
+    fleet.cluster.kill_control(2).expect("a kill");
+    fleet.cluster.wipe_control(2).expect("a wipe");
+    let obstacle = fleet.cluster.data_folder(2).join("log");
+    std::fs::create_dir_all(&obstacle).expect("a folder");
+    fleet.cluster.start_control(2).expect("a start");
+    let bytes = next_configuration(3, "/added/").to_bytes();
+    assert_eq!(status(&fleet.operator.put(&bytes, 1).await), Some(200), "{}", fleet.cluster.logs());
+    assert!(fleet.serves(2, "/added/").await, "{}", fleet.cluster.logs());
+    assert!(fleet.cluster.logs().contains("hosted_replica { outcome=failed"), "{}", fleet.cluster.logs());
+    std::fs::remove_dir(&obstacle).expect("an empty folder");
+    assert!(poll(|| fleet.holds_the_state(2, &[0, 1, 2])).await, "{}", fleet.cluster.logs());
+}
+
 /// SIGTERM comes to both processes of a machine at once.
 #[tokio::test]
 async fn a_machine_that_is_front_and_control_ends_in_order_and_comes_back() {
--- a/crates/proxy/src/generate.rs
+++ b/crates/proxy/src/generate.rs
@@ -110,10 +110,11 @@
 }
 
 /// No other prefill server may be asked: a decode server reads the prompt if it is short. It reads between the tokens of others,
-/// so that a long one would hold up every stream there for longer than pauses may last, for a request that is late already.
+/// so that a long one would hold up every stream there for longer than pauses may last, for a request that is late already. One
+/// that has run, as a stream that is resumed, can't be told to come back, and its client has a part of it.
 fn read_by_decode(job: &Job<'_>) -> Result<Option<Prefill>, Refusal> {
     let most = job.shared.balancer.borrow().tuning().decode_reads_at_most;
-    if job.prompt.tokens_in > most {
+    if job.prompt.tokens_in > most && job.attempts.is_unrun() {
         return Err(job.give_up(Refusal::Full));
     }
     Ok(Some(Prefill::Skip))
@@ -123,7 +124,8 @@
 fn may_read_after_failure(job: &Job<'_>) -> bool {
     let balancer = job.shared.balancer.borrow();
     let tuning = balancer.tuning();
-    tuning.decode_reads_after_failures || job.prompt.tokens_in <= tuning.decode_reads_at_most
+    let is_short = job.prompt.tokens_in <= tuning.decode_reads_at_most;
+    tuning.decode_reads_after_failures || is_short || !job.attempts.is_unrun()
 }
 
 /// The rank of a prompt by its length, 0 for the shortest: reading a long one takes hundreds of milliseconds, in which short
