--- a/crates/lugwharf/tests/without_core.rs
+++ b/crates/lugwharf/tests/without_core.rs
@@ -152,16 +152,11 @@
     let mut fleet = start().await;
     fleet.cluster.signal_front(1, Signal::Terminate).expect("signals");
     for name in ["control-1", "front-1-proxy"] {
-        let mut status = None;
-        for _ in 0..600 {
-            status = fleet.cluster.process(name).and_then(|process| process.ended());
-            if status.is_some() {
-                break;
-            }
-            tokio::time::sleep(std::time::Duration::from_millis(25)).await;
-        }
+        let process = fleet.cluster.process(name).expect("a process");
+        let has_ended = poll(|| std::future::ready(process.ended().is_some())).await;
+        let status = process.ended();
         assert!(
-            status.is_some_and(|status| status.success()),
+            has_ended && status.is_some_and(|status| status.success()),
             "{name}: {status:?}\n{}",
             fleet.cluster.logs()
         );
