--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,6 +7,9 @@
 mod backoff;
 #[cfg(test)]
 mod backoff_tests;
+pub mod directory;
+#[cfg(test)]
+mod directory_tests;
 mod feed;
 mod figures;
 mod last_resort;
@@ -26,7 +29,7 @@
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// Commands that may wait for the owner of the tables; there is one feed and one uplink, so few are ever under way.
 const QUEUE: usize = 64;
@@ -36,6 +39,17 @@
 pub struct AgentOptions {
     /// The port of `GET /metrics`; not served if absent.
     pub metrics_port: Option<u16>,
+    /// What is told of the control plane to others on this machine.
+    pub outlook: Outlook,
+}
+
+/// What the agent knows of the control plane, kept up to date.
+#[derive(Clone, Debug, Default)]
+pub struct Outlook {
+    /// The agent address of the control process that is followed.
+    pub following: watch::Sender<Option<SocketAddr>>,
+    /// The agent addresses of all control processes that are known.
+    pub control: watch::Sender<Vec<SocketAddr>>,
 }
 
 /// Runs until SIGTERM.
@@ -55,7 +69,7 @@
     {
         tokio::spawn(figures::serve(endpoint, figures.clone(), commands.clone()));
     }
-    tokio::spawn(uplink::run(settings, figures, commands, reloads));
+    tokio::spawn(uplink::run(settings, figures, commands, reloads, options.outlook));
     loop {
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
--- a/crates/agent/src/uplink.rs
+++ b/crates/agent/src/uplink.rs
@@ -7,6 +7,7 @@
 //! have been asked and none is in touch: an old configuration serves better than none, and the newest may not be passed
 //! over for an old one by a front that starts.
 
+use crate::Outlook;
 use crate::backoff::Backoff;
 use crate::figures::{Figures, PullOutcome};
 use crate::last_resort::LastResort;
@@ -47,12 +48,13 @@
     source: Option<IpAddr>,
     figures: Arc<Figures>,
     commands: mpsc::Sender<Command>,
+    outlook: Outlook,
 }
 
 /// Runs until the owner of the tables ends.
 pub async fn run(
     settings: Settings, figures: Arc<Figures>, commands: mpsc::Sender<Command>,
-    mut reloads: mpsc::Receiver<Settings>,
+    mut reloads: mpsc::Receiver<Settings>, outlook: Outlook,
 ) {
     let mut uplink = Uplink {
         node: settings.node.clone(),
@@ -62,6 +64,7 @@
         source: settings.bind,
         figures,
         commands,
+        outlook,
     };
     let mut backoff = Backoff::new(uplink.incarnation);
     while !uplink.commands.is_closed() {
@@ -96,6 +99,12 @@
     }
 }
 
+/// Whether a process that was left is of no use to others either. One that was left for the preferred one goes on serving until
+/// that one does.
+fn is_unfit(left: &Result<Left, FrameError>) -> bool {
+    !matches!(left, Ok(Left::ForPreferred))
+}
+
 /// Tells two lives of this process apart; nothing rests on it climbing.
 fn incarnation() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -124,6 +133,9 @@
         for address in self.order() {
             let mut served = false;
             let left = self.follow(address, &mut served, &mut last_resort).await;
+            if is_unfit(&left) {
+                self.outlook.following.send_replace(None);
+            }
             was_served |= served;
             match left {
                 Ok(left) => {
@@ -176,6 +188,7 @@
             let preferred = self.order().first() == Some(&address);
             if !std::mem::replace(served, true) {
                 self.figures.followed();
+                self.outlook.following.send_replace(Some(address));
                 info!("control", kv: { outcome = "following", control: = address });
             }
             if !preferred && since.elapsed() >= RETURN_AFTER {
@@ -187,6 +200,9 @@
 
     fn learn(&mut self, control: Vec<SocketAddr>) {
         if !control.is_empty() && control.len() <= MOST_ADDRESSES {
+            if self.control != control {
+                self.outlook.control.send_replace(control.clone());
+            }
             self.control = control;
         }
     }
--- a/crates/chain/examples/history_log.rs
+++ b/crates/chain/examples/history_log.rs
@@ -88,7 +88,8 @@
     }
 
     fn take(&mut self, version: u64, bytes: Arc<[u8]>) -> Outcome<()> {
-        let event = Event::Submit { ticket: Ticket(version), base: version - 1, version, bytes };
+        let event =
+            Event::Submit { ticket: Ticket(version), base: version - 1, version, request: None, bytes };
         match self.handle(event)? {
             Some(Answer::Accepted { .. }) => self.tick(),
             other => Err(format!("version {version}: {other:?}").into()),
--- a/crates/chain/src/api.rs
+++ b/crates/chain/src/api.rs
@@ -1,5 +1,6 @@
 //! What goes into a replica and what comes out.
 
+use crate::digest::Blake3;
 use crate::message::Message;
 use crate::model::{CommittedConfig, Mark, MemberId, View};
 use std::net::SocketAddr;
@@ -35,7 +36,10 @@
         base: u64,
         /// Its own version.
         version: u64,
-        /// The configuration, byte for byte.
+        /// The hash of the request that the configuration was computed from; `None` where the operator sent it whole.
+        request: Option<Blake3>,
+        /// The configuration, byte for byte. Empty where its base is not at hand: such a change is recognised if it was
+        /// taken before, else refused as its base is not current, and never written.
         bytes: Arc<[u8]>,
     },
     /// The operator reads the newest committed configuration.
--- a/crates/chain/src/digest.rs
+++ b/crates/chain/src/digest.rs
@@ -54,23 +54,36 @@
     }
 }
 
-/// The digest of a configuration.
+/// What a change is recognised by: the hashes of its configuration, and the hash of the request that it was computed from
+/// where the operator did not send the configuration whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Digest {
     /// The only hash that earlier versions know.
     pub fnv: Fnv,
     /// Missing if an earlier version wrote the entry and its bytes were gone when this version first read it.
     pub blake3: Option<Blake3>,
+    /// Of the request, where it alters named items of its base.
+    pub request: Option<Blake3>,
 }
 
 impl Digest {
     /// The digest of these bytes.
     pub fn of(bytes: &[u8]) -> Digest {
-        Digest { fnv: Fnv::of(bytes), blake3: Some(Blake3::of(bytes)) }
+        Digest { fnv: Fnv::of(bytes), blake3: Some(Blake3::of(bytes)), request: None }
     }
 
-    /// Whether both stand for the same bytes.
+    /// The digest of the bytes that a request with this hash led to.
+    pub fn of_request(bytes: &[u8], request: Option<Blake3>) -> Digest {
+        Digest { request, ..Digest::of(bytes) }
+    }
+
+    /// Whether both stand for the same change: one request leads to the same bytes on the same base, whoever computes them.
     pub fn matches(&self, other: &Digest) -> bool {
+        let same_request = self.request.is_some() && self.request == other.request;
+        same_request || self.has_same_bytes(other)
+    }
+
+    fn has_same_bytes(&self, other: &Digest) -> bool {
         match (self.blake3, other.blake3) {
             (Some(one), Some(other)) => one == other,
             _ => self.fnv == other.fnv,
--- a/crates/chain/src/lib.rs
+++ b/crates/chain/src/lib.rs
@@ -73,6 +73,8 @@
 mod replica;
 #[cfg(test)]
 mod replication_guard_tests;
+#[cfg(test)]
+mod request_tests;
 mod settings;
 #[cfg(test)]
 mod test_driver;
--- a/crates/chain/src/message.rs
+++ b/crates/chain/src/message.rs
@@ -1,7 +1,7 @@
 //! What replicas say to each other. Each message names the view or instance that it belongs to, so that a late one is
 //! recognised as stale.
 
-use crate::digest::Fnv;
+use crate::digest::{Blake3, Fnv};
 use crate::model::{Ballot, CallId, CommittedConfig, Entry, Mark, MemberId, Transfer, View};
 use crate::transfer::{Piece, PieceRequest};
 use crate::wire_bytes;
@@ -149,6 +149,9 @@
         /// The configuration, byte for byte.
         #[serde(with = "wire_bytes")]
         bytes: Arc<[u8]>,
+        /// As in [`crate::Event::Submit`]; earlier versions neither send nor read it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        request: Option<Blake3>,
         /// Whether the sender passes it on for another process. Such a call is not passed on again.
         #[serde(default)]
         relayed: bool,
--- a/crates/chain/src/model.rs
+++ b/crates/chain/src/model.rs
@@ -135,7 +135,7 @@
     }
 }
 
-/// A mark in logs and messages. Earlier versions write and read it without `blake3`.
+/// A mark in logs and messages. Earlier versions write and read it without `blake3` or without `request`.
 #[derive(Serialize, Deserialize)]
 struct EncodedMark {
     index: u64,
@@ -144,19 +144,21 @@
     digest: Fnv,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     blake3: Option<Blake3>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    request: Option<Blake3>,
 }
 
 impl From<EncodedMark> for Mark {
     fn from(encoded: EncodedMark) -> Mark {
-        let EncodedMark { index, version, base, digest: fnv, blake3 } = encoded;
-        Mark { index, version, base, digest: Digest { fnv, blake3 } }
+        let EncodedMark { index, version, base, digest: fnv, blake3, request } = encoded;
+        Mark { index, version, base, digest: Digest { fnv, blake3, request } }
     }
 }
 
 impl From<Mark> for EncodedMark {
     fn from(mark: Mark) -> EncodedMark {
-        let Mark { index, version, base, digest: Digest { fnv, blake3 } } = mark;
-        EncodedMark { index, version, base, digest: fnv, blake3 }
+        let Mark { index, version, base, digest: Digest { fnv, blake3, request } } = mark;
+        EncodedMark { index, version, base, digest: fnv, blake3, request }
     }
 }
 
--- a/crates/chain/src/replica/calls.rs
+++ b/crates/chain/src/replica/calls.rs
@@ -2,7 +2,7 @@
 
 use super::Replica;
 use crate::api::{Answer, Ticket};
-use crate::digest::Digest;
+use crate::digest::{Blake3, Digest};
 use crate::message::{Message, Outcome};
 use crate::model::{CallId, Mark};
 use lugwharf_invariants::{Invariant, check};
@@ -41,8 +41,10 @@
 }
 
 impl Replica {
-    pub(super) fn submit(&mut self, ticket: Ticket, base: u64, version: u64, bytes: Arc<[u8]>) {
-        let digest = Digest::of(&bytes);
+    pub(super) fn submit(
+        &mut self, ticket: Ticket, base: u64, version: u64, request: Option<Blake3>, bytes: Arc<[u8]>,
+    ) {
+        let digest = Digest::of_request(&bytes, request);
         let held = self.history.find(version, base, digest);
         if held.is_some_and(|mark| mark.index <= self.committed) {
             return self.answer(ticket, Answer::Accepted { version });
@@ -111,6 +113,7 @@
                 version: *version,
                 digest: digest.fnv,
                 bytes: bytes.clone(),
+                request: digest.request,
                 relayed: false,
             },
             Wish::Read { .. } => Message::Read { call: id, relayed: false },
--- a/crates/chain/src/replica/head.rs
+++ b/crates/chain/src/replica/head.rs
@@ -5,7 +5,7 @@
 //! | is in the committed history | accepted |
 //! | is so old that the history would not know it any more | never judged: its caller gets no clear answer in time |
 //! | another one is on its way down the chain | waits until that one is decided |
-//! | builds on the current version, its own is higher | written |
+//! | builds on the current version, its own is higher | written; without bytes never judged |
 //! | builds on the current version, its own is not higher | outdated |
 //! | builds on an older version | conflict |
 //! | builds on a version never seen here | conflict, once a majority says that the view is in force |
@@ -13,7 +13,7 @@
 //! The refusals in rows 5 and 6 hold for ever, since committed versions only climb.
 
 use super::Replica;
-use crate::digest::Digest;
+use crate::digest::{Blake3, Digest};
 use crate::message::{Message, Outcome};
 use crate::model::{CallId, Entry, Mark};
 use std::collections::VecDeque;
@@ -26,6 +26,16 @@
 /// The process that the operator called has given up a call that is older.
 const FORGET_AFTER: Duration = Duration::from_millis(1_500);
 
+/// A change as a process passes it on to the head.
+#[derive(Debug)]
+pub(super) struct SubmittedChange {
+    pub(super) call: CallId,
+    pub(super) base: u64,
+    pub(super) version: u64,
+    pub(super) request: Option<Blake3>,
+    pub(super) bytes: Arc<[u8]>,
+}
+
 /// A change that is not judged yet.
 #[derive(Debug)]
 struct Waiting {
@@ -61,16 +71,15 @@
 }
 
 impl Replica {
-    pub(super) fn on_submit(
-        &mut self, origin: SocketAddr, call: CallId, base: u64, version: u64, bytes: Arc<[u8]>,
-    ) {
+    pub(super) fn on_submit(&mut self, origin: SocketAddr, change: SubmittedChange) {
+        let SubmittedChange { call, base, version, request, bytes } = change;
         let known = self.head.waiting.iter().any(|waiting| waiting.call == call);
         let mine = self.view.head() == Some(self.identity) && !self.sealed();
         if !mine || known || self.head.waiting.len() >= MAX_WAITING {
             return;
         }
         // What another process says of the bytes is not relied on.
-        let digest = Digest::of(&bytes);
+        let digest = Digest::of_request(&bytes, request);
         let arrived = self.now;
         let waiting = Waiting { origin, call, base, version, digest, bytes, arrived, round: None };
         self.head.waiting.push_back(waiting);
@@ -115,7 +124,9 @@
         }
         let current = self.history.last_version();
         if waiting.base == current && waiting.version > current {
-            return Judgement::Write;
+            // Without its bytes it was computed from another base than the one that is current by now: its caller gives
+            // it up and computes it anew.
+            return if waiting.bytes.is_empty() { Judgement::Wait } else { Judgement::Write };
         }
         if waiting.base == current {
             return Judgement::Decided(Outcome::Outdated { current });
--- a/crates/chain/src/replica/mod.rs
+++ b/crates/chain/src/replica/mod.rs
@@ -40,7 +40,7 @@
 use calls::Calls;
 use contact::Contact;
 use follow::Follower;
-use head::Head;
+use head::{Head, SubmittedChange};
 use install::Installation;
 use relay::Relayed;
 use replication::Successor;
@@ -119,7 +119,9 @@
             Event::Tick => self.tick(),
             Event::Message { from, message } => self.receive(from, message),
             Event::LinkDown { peer } => self.peers.link_down(peer),
-            Event::Submit { ticket, base, version, bytes } => self.submit(ticket, base, version, bytes),
+            Event::Submit { ticket, base, version, request, bytes } => {
+                self.submit(ticket, base, version, request, bytes);
+            }
             Event::Read { ticket } => self.read(ticket),
             Event::Abandon { ticket } => self.abandon(ticket),
             Event::Leave => self.leave(),
@@ -223,13 +225,13 @@
             Message::Committed { mark } => self.learn_commit(from, mark),
             Message::Confirm { view, question } => self.on_confirm(from, view, question),
             Message::Confirmed { view, question } => self.on_confirmed(from, view, question),
-            Message::Submit { call, base, version, digest: _, bytes, relayed: false }
-                if self.view.head() != Some(self.identity) =>
-            {
-                self.relay_submit(from, call, base, version, bytes);
-            }
-            Message::Submit { call, base, version, digest: _, bytes, relayed: _ } => {
-                self.on_submit(from, call, base, version, bytes);
+            Message::Submit { call, base, version, digest: _, bytes, request, relayed } => {
+                let change = SubmittedChange { call, base, version, request, bytes };
+                let is_head = self.view.head() == Some(self.identity);
+                match relayed || is_head {
+                    true => self.on_submit(from, change),
+                    false => self.relay_submit(from, change),
+                }
             }
             Message::Read { call, relayed: false } if self.view.tail() != Some(self.identity) => {
                 self.relay_read(from, call);
--- a/crates/chain/src/replica/relay.rs
+++ b/crates/chain/src/replica/relay.rs
@@ -5,13 +5,12 @@
 //! views would else send it to and fro. Nothing is promised by passing on: whatever is lost is sent again by the process that was
 //! called, and an entry that is committed becomes known by heartbeats as well.
 
-use super::Replica;
+use super::{Replica, head::SubmittedChange};
 use crate::digest::Digest;
 use crate::message::{Message, Outcome};
 use crate::model::CallId;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Calls that are passed on at a time: as many as two other processes take from their operators.
@@ -43,12 +42,11 @@
         peers.get(turn % peers.len().max(1)).copied().unwrap_or(end)
     }
 
-    pub(super) fn relay_submit(
-        &mut self, origin: SocketAddr, call: CallId, base: u64, version: u64, bytes: Arc<[u8]>,
-    ) {
+    pub(super) fn relay_submit(&mut self, origin: SocketAddr, change: SubmittedChange) {
+        let SubmittedChange { call, base, version, request, bytes } = change;
         let Some(head) = self.view.head().map(|head| head.address) else { return };
         let digest = Digest::of(&bytes).fnv;
-        let message = Message::Submit { call, base, version, digest, bytes, relayed: true };
+        let message = Message::Submit { call, base, version, digest, bytes, request, relayed: true };
         self.relay(origin, call, head, message);
     }
 
--- a/crates/chain/src/test_driver.rs
+++ b/crates/chain/src/test_driver.rs
@@ -77,6 +77,7 @@
         version,
         digest: Fnv::of(&bytes),
         bytes: bytes.into(),
+        request: None,
         relayed: false,
     }
 }
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -25,6 +25,8 @@
     BadPrefix,
     /// A name stands twice.
     SameName,
+    /// An item that is to be removed is not there.
+    UnknownName,
 }
 
 /// What is wrong with a configuration, and where.
@@ -40,33 +42,51 @@
 }
 
 impl ConfigFault {
-    fn new(kind: FaultKind, field: impl Into<String>, reason: impl Into<String>) -> Self {
+    pub(crate) fn new(kind: FaultKind, field: impl Into<String>, reason: impl Into<String>) -> Self {
         ConfigFault { kind, field: field.into(), reason: reason.into() }
     }
 }
 
-/// The compiled schema; it is compiled once, at its first use.
-fn validator() -> Option<&'static Validator> {
-    static VALIDATOR: OnceLock<Option<Validator>> = OnceLock::new();
-    VALIDATOR
-        .get_or_init(|| {
-            let schema: Value = serde_json::from_str(SCHEMA).ok()?;
-            jsonschema::validator_for(&schema).ok()
-        })
-        .as_ref()
+/// A check of JSON text against a schema, which is compiled once, at its first use.
+pub(crate) struct SchemaCheck {
+    schema: &'static str,
+    validator: OnceLock<Option<Validator>>,
 }
 
-impl Configuration {
-    /// Reads and checks the bytes of a configuration.
-    pub fn parse(bytes: &[u8]) -> Result<Configuration, ConfigFault> {
+impl SchemaCheck {
+    pub(crate) const fn of(schema: &'static str) -> SchemaCheck {
+        SchemaCheck { schema, validator: OnceLock::new() }
+    }
+
+    fn validator(&self) -> Option<&Validator> {
+        let compile = || {
+            let schema: Value = serde_json::from_str(self.schema).ok()?;
+            jsonschema::validator_for(&schema).ok()
+        };
+        self.validator.get_or_init(compile).as_ref()
+    }
+
+    /// Reads JSON text that keeps to the schema; the fault names the first place that does not.
+    pub(crate) fn parse(&self, bytes: &[u8]) -> Result<Value, ConfigFault> {
         let value: Value = serde_json::from_slice(bytes)
-            .map_err(|e| ConfigFault::new(FaultKind::NotJson, "", e.to_string()))?;
+            .map_err(|error| ConfigFault::new(FaultKind::NotJson, "", error.to_string()))?;
+        let validator = self.validator();
         let validator =
-            validator().ok_or_else(|| ConfigFault::new(FaultKind::Schema, "", "the schema can't be read"))?;
+            validator.ok_or_else(|| ConfigFault::new(FaultKind::Schema, "", "the schema can't be read"))?;
         if let Some(error) = validator.iter_errors(&value).next() {
             let field = error.instance_path().to_string();
             return Err(ConfigFault::new(FaultKind::Schema, field, error.to_string()));
         }
+        Ok(value)
+    }
+}
+
+static CONFIGURATION_CHECK: SchemaCheck = SchemaCheck::of(SCHEMA);
+
+impl Configuration {
+    /// Reads and checks the bytes of a configuration.
+    pub fn parse(bytes: &[u8]) -> Result<Configuration, ConfigFault> {
+        let value = CONFIGURATION_CHECK.parse(bytes)?;
         let configuration: Configuration = serde_json::from_value(value)
             .map_err(|e| ConfigFault::new(FaultKind::Schema, "", e.to_string()))?;
         configuration.check()?;
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -4,6 +4,7 @@
 use crate::pulls::Frame;
 use crate::shutdown::Outcome;
 use crate::status::Status;
+use lugwharf_chain::Blake3;
 use lugwharf_protocol::{AgentRequest, ServerEntry};
 use lugwharf_settings::Settings;
 use lugwharf_stages::OrderAnswer;
@@ -37,7 +38,9 @@
         base: u64,
         /// Its number.
         version: u64,
-        /// Its JSON.
+        /// The hash of the request that it was computed from, where the operator did not send it whole.
+        request: Option<Blake3>,
+        /// Its JSON; empty as in [`lugwharf_chain::Event::Submit`].
         bytes: Arc<[u8]>,
         /// Where the answer goes.
         reply: oneshot::Sender<lugwharf_chain::Answer>,
@@ -88,6 +91,16 @@
         /// How it ended.
         answer: OrderAnswer,
     },
+    /// Asks for the agent addresses of the seeds that are to be asked for control processes: none while any process is heard.
+    SeedsToAsk {
+        /// Where the answer goes.
+        reply: oneshot::Sender<Vec<SocketAddr>>,
+    },
+    /// A seed has named control processes by their agent addresses.
+    Named {
+        /// The addresses.
+        addresses: Vec<SocketAddr>,
+    },
     /// The settings file changed.
     Reload {
         /// The new settings.
--- /dev/null
+++ b/crates/control/src/gateway_tests.rs
@@ -0,0 +1,48 @@
+//! Redirects of a machine without a replica.
+
+use crate::gateway;
+use rstest::rstest;
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+async fn call(target: Option<&str>, head: &str, body: &[u8]) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let target: Option<SocketAddr> = target.map(|target| target.parse().expect("an address"));
+    let (_sender, targets) = watch::channel(target);
+    gateway::serve(listener, targets);
+    let mut link = TcpStream::connect(address).await.expect("a connection");
+    let head = format!(
+        "{head} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    link.write_all(head.as_bytes()).await.expect("a write");
+    link.write_all(body).await.expect("a write");
+    let mut answer = Vec::new();
+    link.read_to_end(&mut answer).await.expect("an answer");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[rstest]
+#[case::change("PUT /config", b"{}".as_slice(), "http://10.0.0.4:8080/config")]
+#[case::patch("PATCH /config", b"{}", "http://10.0.0.4:8080/config")]
+#[case::read("GET /config", b"", "http://10.0.0.4:8080/config")]
+#[case::query("GET /status?full=1", b"", "http://10.0.0.4:8080/status?full=1")]
+#[tokio::test]
+async fn sends_a_call_on_to_the_control_process(
+    #[case] head: &str, #[case] body: &[u8], #[case] location: &str,
+) {
+    let answer = call(Some("10.0.0.4:8080"), head, body).await;
+    assert!(answer.starts_with("HTTP/1.1 307 "), "{answer}");
+    assert!(answer.to_ascii_lowercase().contains(&format!("location: {location}\r\n")), "{answer}");
+}
+
+#[tokio::test]
+async fn promises_nothing_where_no_control_process_is_followed() {
+    let answer = call(None, "PUT /config", b"{}").await;
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.to_ascii_lowercase().contains("retry-after:"), "{answer}");
+    assert!(answer.contains("\"Error\":\"unavailable\""), "{answer}");
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,9 @@
 #[cfg(test)]
 mod answer_tests;
 mod command;
+pub mod gateway;
+#[cfg(test)]
+mod gateway_tests;
 mod lease;
 mod links;
 mod listing;
@@ -31,6 +34,9 @@
 mod reader;
 #[cfg(test)]
 mod reader_tests;
+mod seed_lookup;
+#[cfg(test)]
+mod seed_lookup_tests;
 mod shutdown;
 mod status;
 #[cfg(test)]
@@ -43,6 +49,7 @@
 use lugwharf_telemetry::MetricsEndpoint;
 use metrics::Refusals;
 use owner::Owner;
+use seed_lookup::Asker;
 use shutdown::Outcome;
 use spdlog::prelude::*;
 use std::net::SocketAddr;
@@ -87,6 +94,8 @@
     tokio::spawn(agents::accept(agent_listener, commands.clone()));
     operator::serve(operator_listener, commands.clone(), refusals)?;
     tokio::spawn(tick(commands.clone()));
+    let asker = Asker { node: settings.node.clone(), source: settings.bind };
+    tokio::spawn(seed_lookup::run(asker, commands.clone()));
     if let Some(port) = options.metrics_port
         && let Some(endpoint) = MetricsEndpoint::listen(SocketAddr::new(settings.listen_ip(), port)).await
     {
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -1,20 +1,20 @@
-//! The operator's API over HTTP: `PUT /config`, `GET /config`, `GET /status`, `GET /metrics`.
+//! The operator's API over HTTP: `PUT /config`, `PATCH /config`, `GET /config`, `GET /status`, `GET /metrics`.
 
 use crate::answer::{ErrorKind, OperatorError};
 use crate::command::Command;
 use crate::logs::Hash;
 use crate::metrics::{self, Refusals};
 use eyre::Result;
-use lugwharf_chain::Answer;
-use lugwharf_config::{ConfigFault, Configuration};
+use lugwharf_chain::{Answer, Blake3, CommittedConfig};
+use lugwharf_config::{ConfigFault, Configuration, ConfigurationPatch};
 use lugwharf_protocol::MAX_FRAME_BYTES;
 use serde::Serialize;
 use spdlog::prelude::*;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, mpsc, oneshot};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 use trillium::{Conn, KnownHeaderName, Method};
 use trillium_http::HttpConfig;
 
@@ -45,13 +45,7 @@
 
 /// Serves the API until the process ends.
 pub fn serve(listener: TcpListener, commands: mpsc::Sender<Command>, refusals: Refusals) -> Result<()> {
-    let http = HttpConfig::default().with_received_body_max_len(MOST_BYTES);
-    let config = trillium_tokio::config()
-        .without_signals()
-        .with_nodelay()
-        .with_max_connections(Some(MOST_CONNECTIONS))
-        .with_http_config(http)
-        .with_prebound_server(listener);
+    let config = http_config(listener, MOST_BYTES);
     let api = Api { commands, refusals, bodies: Arc::new(Semaphore::new(MOST_BODIES)) };
     let handler = move |conn: Conn| {
         let api = api.clone();
@@ -61,6 +55,19 @@
     Ok(())
 }
 
+/// A server on this listener that takes bodies up to a length.
+pub(crate) fn http_config(
+    listener: TcpListener, most_bytes: u64,
+) -> trillium_server_common::Config<impl trillium_server_common::Server, ()> {
+    let http = HttpConfig::default().with_received_body_max_len(most_bytes);
+    trillium_tokio::config()
+        .without_signals()
+        .with_nodelay()
+        .with_max_connections(Some(MOST_CONNECTIONS))
+        .with_http_config(http)
+        .with_prebound_server(listener)
+}
+
 /// A successful answer.
 struct Reply {
     content_type: &'static str,
@@ -79,6 +86,7 @@
     let commands = &api.commands;
     let result = match (conn.method(), conn.path()) {
         (Method::Put, "/config") => put_config(&mut conn, &api).await,
+        (Method::Patch, "/config") => patch_config(&mut conn, &api).await,
         (Method::Get, "/config") => get_config(commands).await,
         (Method::Get, "/status") => get_status(commands).await,
         (Method::Get, "/metrics") => get_metrics(commands).await,
@@ -91,18 +99,21 @@
         Ok(reply) => respond(conn, 200, reply),
         Err(error) => {
             api.refusals.count(error.kind);
-            let (status, _) = error.kind.answer();
-            let conn = match error.kind {
-                ErrorKind::Unavailable => {
-                    conn.with_response_header(KnownHeaderName::RetryAfter, RETRY_AFTER_S)
-                }
-                _ => conn,
-            };
-            respond(conn, status, Reply::json(json(&error.body)))
+            respond_with_error(conn, &error)
         }
     }
 }
 
+/// Answers with an error; one that promises nothing says when to come back.
+pub(crate) fn respond_with_error(conn: Conn, error: &OperatorError) -> Conn {
+    let (status, _) = error.kind.answer();
+    let conn = match error.kind {
+        ErrorKind::Unavailable => conn.with_response_header(KnownHeaderName::RetryAfter, RETRY_AFTER_S),
+        _ => conn,
+    };
+    respond(conn, status, Reply::json(json(&error.body)))
+}
+
 fn respond(conn: Conn, status: u16, reply: Reply) -> Conn {
     conn.with_status(status)
         .with_response_header(KnownHeaderName::ContentType, reply.content_type)
@@ -119,24 +130,70 @@
 }
 
 async fn put_config(conn: &mut Conn, api: &Api) -> Result<Reply, OperatorError> {
-    let base = conn.request_headers().get_str(KnownHeaderName::IfMatch).map(str::to_owned);
     let _place = api.bodies.try_acquire().map_err(|_| unavailable())?;
-    let bytes = read_body(conn).await?;
-    let base = base.as_deref().map(|base| base.trim().trim_matches('"'));
-    let base = base.and_then(|base| base.parse::<u64>().ok()).ok_or_else(|| {
-        OperatorError::new(ErrorKind::BadBase, "names no version to build on").at("If-Match")
-    })?;
+    let (base, bytes) = read_change(conn).await?;
+    let version = Configuration::parse(&bytes).map(|checked| checked.version);
+    let change = Change { base, version, request: None, bytes: bytes.into() };
+    let begun = Instant::now();
+    let result = submit(&change, &api.commands, begun + ANSWER_WITHIN).await;
+    change.note(conn, &result, begun.elapsed());
+    result
+}
+
+/// A change of named items is computed here, from the newest configuration, into a whole one.
+async fn patch_config(conn: &mut Conn, api: &Api) -> Result<Reply, OperatorError> {
+    let _place = api.bodies.try_acquire().map_err(|_| unavailable())?;
+    let (base, bytes) = read_change(conn).await?;
+    let begun = Instant::now();
+    let until = begun + ANSWER_WITHIN;
+    let patch = ConfigurationPatch::parse(&bytes)?;
+    let whole = patched(&patch, base, &api.commands, until).await;
+    let result_bytes = whole.as_ref().map_or_else(|_| Vec::new(), Clone::clone);
     let change = Change {
         base,
-        version: Configuration::parse(&bytes).map(|checked| checked.version),
-        bytes: bytes.into(),
+        version: Ok(patch.version),
+        request: Some(Blake3::of(&bytes)),
+        bytes: result_bytes.into(),
+    };
+    let result = match whole {
+        Ok(_) => submit(&change, &api.commands, until).await,
+        Err(error) => Err(error),
     };
-    let begun = Instant::now();
-    let result = submit(&change, &api.commands).await;
     change.note(conn, &result, begun.elapsed());
     result
 }
 
+/// What a patch makes of its base; nothing where another version is current: the patch may have been taken before, which only
+/// the history tells.
+async fn patched(
+    patch: &ConfigurationPatch, base: u64, commands: &mpsc::Sender<Command>, until: Instant,
+) -> Result<Vec<u8>, OperatorError> {
+    let Some(current) = newest(commands, until).await? else {
+        return Err(OperatorError::new(ErrorKind::NoConfiguration, "there is none yet"));
+    };
+    if current.version != base {
+        return Ok(Vec::new());
+    }
+    let whole = patch.apply(&current.bytes)?;
+    if whole.len() as u64 > MOST_BYTES {
+        return Err(OperatorError::new(ErrorKind::TooLarge, "the configuration becomes too long"));
+    }
+    Ok(whole)
+}
+
+/// The version that a change builds on, and its body. The body is read in any case: a caller that still writes would not hear
+/// the answer.
+async fn read_change(conn: &mut Conn) -> Result<(u64, Vec<u8>), OperatorError> {
+    let base = conn.request_headers().get_str(KnownHeaderName::IfMatch).map(str::to_owned);
+    let bytes = read_body(conn).await?;
+    let base = base.as_deref().map(|base| base.trim().trim_matches('"'));
+    let base = base.and_then(|base| base.parse::<u64>().ok());
+    let base = base.ok_or_else(|| {
+        OperatorError::new(ErrorKind::BadBase, "names no version to build on").at("If-Match")
+    })?;
+    Ok((base, bytes))
+}
+
 async fn read_body(conn: &mut Conn) -> Result<Vec<u8>, OperatorError> {
     let body = timeout(BODY_WITHIN, conn.request_body().read_bytes()).await;
     body.map_err(|_| unavailable())?.map_err(|error| match error {
@@ -152,6 +209,8 @@
     base: u64,
     /// Its number, or what is wrong with it.
     version: Result<u64, ConfigFault>,
+    /// The hash of the request, where the configuration was computed from it.
+    request: Option<Blake3>,
     bytes: Arc<[u8]>,
 }
 
@@ -167,11 +226,14 @@
     }
 }
 
-async fn submit(change: &Change, commands: &mpsc::Sender<Command>) -> Result<Reply, OperatorError> {
+async fn submit(
+    change: &Change, commands: &mpsc::Sender<Command>, until: Instant,
+) -> Result<Reply, OperatorError> {
     let (reply, answer) = oneshot::channel();
     let version = change.version.clone()?;
-    let command = Command::Submit { base: change.base, version, bytes: change.bytes.clone(), reply };
-    match ask(commands, command, answer).await? {
+    let Change { base, request, .. } = *change;
+    let command = Command::Submit { base, version, request, bytes: change.bytes.clone(), reply };
+    match ask(commands, command, answer, until).await? {
         Answer::Accepted { version } => Ok(Reply::json(json(&Accepted { version }))),
         Answer::Conflict { current } => {
             Err(OperatorError::new(ErrorKind::Conflict, "another version is current")
@@ -195,33 +257,42 @@
 }
 
 async fn get_config(commands: &mpsc::Sender<Command>) -> Result<Reply, OperatorError> {
+    match newest(commands, Instant::now() + ANSWER_WITHIN).await? {
+        Some(config) => Ok(Reply::json(Arc::as_ref(&config.bytes).to_vec())),
+        None => Err(OperatorError::new(ErrorKind::NoConfiguration, "there is none yet")),
+    }
+}
+
+/// The newest configuration, if there is one.
+async fn newest(
+    commands: &mpsc::Sender<Command>, until: Instant,
+) -> Result<Option<Arc<CommittedConfig>>, OperatorError> {
     let (reply, answer) = oneshot::channel();
-    match ask(commands, Command::Read { reply }, answer).await? {
-        Answer::Config(Some(config)) => Ok(Reply::json(Arc::as_ref(&config.bytes).to_vec())),
-        Answer::Config(None) => Err(OperatorError::new(ErrorKind::NoConfiguration, "there is none yet")),
+    match ask(commands, Command::Read { reply }, answer, until).await? {
+        Answer::Config(newest) => Ok(newest),
         _ => Err(unavailable()),
     }
 }
 
 async fn get_status(commands: &mpsc::Sender<Command>) -> Result<Reply, OperatorError> {
     let (reply, status) = oneshot::channel();
-    let status = ask(commands, Command::Status { reply }, status).await?;
+    let status = ask(commands, Command::Status { reply }, status, Instant::now() + ANSWER_WITHIN).await?;
     Ok(Reply::json(json(&status)))
 }
 
 async fn get_metrics(commands: &mpsc::Sender<Command>) -> Result<Reply, OperatorError> {
     let (reply, text) = oneshot::channel();
-    let text = ask(commands, Command::Metrics { reply }, text).await?;
+    let text = ask(commands, Command::Metrics { reply }, text, Instant::now() + ANSWER_WITHIN).await?;
     Ok(Reply { content_type: metrics::CONTENT_TYPE, body: text.into_bytes() })
 }
 
-/// Asks the owner of the state, and waits no longer than the operator does.
+/// Asks the owner of the state, and waits until then at most.
 async fn ask<T>(
-    commands: &mpsc::Sender<Command>, command: Command, answer: oneshot::Receiver<T>,
+    commands: &mpsc::Sender<Command>, command: Command, answer: oneshot::Receiver<T>, until: Instant,
 ) -> Result<T, OperatorError> {
     let exchange = async {
         commands.send(command).await.ok()?;
         answer.await.ok()
     };
-    timeout(ANSWER_WITHIN, exchange).await.ok().flatten().ok_or_else(unavailable)
+    timeout_at(until, exchange).await.ok().flatten().ok_or_else(unavailable)
 }
--- a/crates/control/src/owner.rs
+++ b/crates/control/src/owner.rs
@@ -48,6 +48,7 @@
 mod reach_tests;
 mod report;
 mod role;
+mod seeds;
 mod settings;
 mod stages;
 mod standstill;
@@ -201,9 +202,9 @@
             Command::Peer { from, body } => self.peer(from, body),
             Command::Written(written) => self.written(written),
             Command::Pull { request, reply } => self.pull(request, reply),
-            Command::Submit { base, version, bytes, reply } => {
+            Command::Submit { base, version, request, bytes, reply } => {
                 let ticket = self.open_call(reply);
-                self.chain(chain::Event::Submit { ticket, base, version, bytes });
+                self.chain(chain::Event::Submit { ticket, base, version, request, bytes });
             }
             Command::Read { reply } => {
                 let ticket = self.open_call(reply);
@@ -216,6 +217,8 @@
             Command::FirstListed { entries } => self.first_listed(entries),
             Command::ListingFailed { epoch, give_up } => self.listing_failed(epoch, give_up),
             Command::Ordered { id, answer } => self.ordered(&id, answer),
+            Command::SeedsToAsk { reply } => drop(reply.send(self.seeds_to_ask())),
+            Command::Named { addresses } => self.learn_named(&addresses),
             Command::Reload { settings } => self.reload(*settings),
             Command::Shutdown { done } => self.begin_departure(done),
         }
--- a/crates/control/src/owner/processes.rs
+++ b/crates/control/src/owner/processes.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Whether any other control process was heard lately.
+    pub fn hears_any(&self, now: Duration) -> bool {
+        self.heard.values().any(|heard| now.saturating_sub(heard.at) <= FRESH)
+    }
+
     /// The largest number of live proxies that one of these has told lately; 0 for unknown.
     pub fn live_proxies(&self, now: Duration, members: &[SocketAddr]) -> u32 {
         let told = members.iter().filter_map(|member| self.heard.get(member));
--- a/crates/emulator/src/cluster/mod.rs
+++ b/crates/emulator/src/cluster/mod.rs
@@ -48,7 +48,18 @@
 const LOOK_TIME: Duration = Duration::from_millis(500);
 
 /// The processes of a front.
-const FRONT_ROLES: [&str; 2] = ["proxy", "agent"];
+const FRONT_ROLES: [&str; 2] = ["proxy", AGENT];
+const AGENT: &str = "agent";
+
+/// Where control runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Placement {
+    /// On machines of its own.
+    #[default]
+    Core,
+    /// On the first fronts, hosted by their agents; the agents of the others send callers of control on.
+    Fronts,
+}
 
 /// What a cluster consists of.
 #[derive(Clone, Debug)]
@@ -57,6 +68,8 @@
     pub fronts: usize,
     /// Control machines.
     pub controls: usize,
+    /// Where they are; on the first fronts, there must be as many of these.
+    pub placement: Placement,
     /// Machines that count and may be lost at once.
     pub tolerated: usize,
     /// The platform's list.
@@ -81,6 +94,8 @@
     first_start: bool,
     /// Control machines that count, the first ones; the others serve without a vote.
     counting: usize,
+    /// Other seeds than the first control machines, from the next starts on.
+    seeds: Option<Vec<SocketAddr>>,
     /// Whether somebody else has taken the violated invariants up.
     are_violations_taken: bool,
 }
@@ -105,6 +120,7 @@
             processes,
             first_start: true,
             counting,
+            seeds: None,
             are_violations_taken: false,
         })
     }
@@ -114,6 +130,11 @@
         self.counting = machines;
     }
 
+    /// Names these control addresses as seeds to processes that start from now on.
+    pub fn name_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = Some(seeds);
+    }
+
     /// The address of a front for clients.
     pub fn front_address(&self, index: usize) -> SocketAddr {
         SocketAddr::from((self.subnet.front(index), ports::FRONT))
@@ -131,7 +152,33 @@
 
     /// The address of a control machine for the operator.
     pub fn control_address(&self, index: usize) -> SocketAddr {
-        SocketAddr::from((self.subnet.control(index), ports::CONTROL))
+        SocketAddr::from((self.control_ip(index), ports::CONTROL))
+    }
+
+    /// Where the agent of a front takes callers of control, if control runs on fronts.
+    pub fn gateway_address(&self, front: usize) -> SocketAddr {
+        SocketAddr::from((self.subnet.front(front), ports::CONTROL))
+    }
+
+    /// The same of all fronts whose agents send callers on.
+    pub fn gateway_addresses(&self) -> Vec<SocketAddr> {
+        let fronts = match self.options.placement {
+            Placement::Core => 0..0,
+            Placement::Fronts => self.options.controls..self.options.fronts,
+        };
+        fronts.map(|front| self.gateway_address(front)).collect()
+    }
+
+    fn control_ip(&self, index: usize) -> Ipv4Addr {
+        match self.options.placement {
+            Placement::Core => self.subnet.control(index),
+            Placement::Fronts => self.subnet.front(index),
+        }
+    }
+
+    /// Whether the agent of that front hosts a control machine.
+    pub fn hosts_control(&self, front: usize) -> bool {
+        self.options.placement == Placement::Fronts && front < self.options.controls
     }
 
     /// An address for a server, which nothing else of this box is given while the server is down.
@@ -141,7 +188,11 @@
 
     /// The address from which the processes of a control machine connect, and on which they listen.
     pub fn control_bound(&self, index: usize) -> Ipv4Addr {
-        if self.options.relayed { self.subnet.control_behind(index) } else { self.subnet.control(index) }
+        match (self.options.placement, self.options.relayed) {
+            (Placement::Core, true) => self.subnet.control_behind(index),
+            (Placement::Core, false) => self.subnet.control(index),
+            (Placement::Fronts, _) => self.front_bound(index),
+        }
     }
 
     /// The address from which the agent of a front connects.
@@ -151,14 +202,14 @@
 
     /// Where a process of a control machine listens, and where others reach it: the operator's API, peers, agents.
     pub fn relayed_addresses(&self, index: usize) -> [(SocketAddr, SocketAddr); 3] {
-        let (public, bound) = (self.subnet.control(index), self.control_bound(index));
+        let (public, bound) = (self.control_ip(index), self.control_bound(index));
         [ports::CONTROL, ports::INTERNAL_FIRST, ports::INTERNAL_FIRST + 1]
             .map(|port| (SocketAddr::from((public, port)), SocketAddr::from((bound, port))))
     }
 
     /// The ports of a control machine for internal traffic: peers, then agents.
     pub fn internal_addresses(&self, index: usize) -> [SocketAddr; 2] {
-        [0, 1].map(|offset| SocketAddr::from((self.subnet.control(index), ports::INTERNAL_FIRST + offset)))
+        [0, 1].map(|offset| SocketAddr::from((self.control_ip(index), ports::INTERNAL_FIRST + offset)))
     }
 
     /// What a control machine tells of itself; nothing if it does not answer.
@@ -169,13 +220,16 @@
 
     /// An operator who knows all control machines.
     pub fn operator(&self) -> Operator {
-        Operator::new((0..self.options.controls).map(|index| self.control_address(index)).collect())
+        let controls = (0..self.options.controls).map(|index| self.control_address(index));
+        Operator::new(controls.chain(self.gateway_addresses()).collect())
     }
 
     /// Starts all processes of all machines, control first.
     pub fn start_all(&mut self) -> io::Result<()> {
         for index in 0..self.options.controls {
-            self.start_control(index)?;
+            if !self.hosts_control(index) {
+                self.start_control(index)?;
+            }
         }
         for index in 0..self.options.fronts {
             self.start_front(index)?;
@@ -189,7 +243,7 @@
     pub fn start_control(&mut self, index: usize) -> io::Result<()> {
         std::fs::create_dir_all(self.data_folder(index))?;
         let spec = self.control_settings(index);
-        self.start_process(&control_name(index), "control", &spec)
+        self.start_process(&control_name(index), &spec.role, &spec)
     }
 
     /// Starts both processes of a front.
@@ -202,8 +256,11 @@
 
     /// Starts one process of a front (`proxy` or `agent`).
     pub fn start_front_process(&mut self, index: usize, role: &str) -> io::Result<()> {
+        if role == AGENT && self.hosts_control(index) {
+            return self.start_control(index);
+        }
         let spec = self.front_settings(index, role);
-        self.start_process(&front_name(index, role), role, &spec)
+        self.start_process(&self.front_name(index, role), role, &spec)
     }
 
     /// Ends the process of a control machine as a kill does.
@@ -221,7 +278,7 @@
 
     /// Ends one process of a front (`proxy` or `agent`) as a kill does.
     pub fn kill_front(&mut self, index: usize, role: &str) -> io::Result<()> {
-        self.end(&front_name(index, role), Signal::Kill)
+        self.end(&self.front_name(index, role), Signal::Kill)
     }
 
     /// Asks both processes of a front to end; they go on until they are done.
@@ -232,7 +289,7 @@
     /// Sends a signal to both processes of a front.
     pub fn signal_front(&mut self, index: usize, signal: Signal) -> io::Result<()> {
         for role in FRONT_ROLES {
-            if let Some(process) = self.processes.get_mut(&front_name(index, role)) {
+            if let Some(process) = self.processes.get_mut(&self.front_name(index, role)) {
                 process.signal(signal)?;
             }
         }
@@ -292,7 +349,12 @@
 
     /// The metrics of a control process, if it answers.
     pub async fn control_metrics(&self, index: usize) -> Option<String> {
-        metrics_text(SocketAddr::from((self.control_bound(index), ports::METRICS))).await
+        let port = match self.options.placement {
+            Placement::Core => ports::METRICS,
+            // The port of the machine's proxy; the replica tells its metrics beside the operator's API.
+            Placement::Fronts => ports::CONTROL,
+        };
+        metrics_text(SocketAddr::from((self.control_bound(index), port))).await
     }
 
     /// Lines that tell of violated invariants, for a caller that judges them itself: the cluster then ends without a word.
@@ -347,7 +409,7 @@
         std::fs::create_dir_all(&folder)?;
         let settings = folder.join("settings.toml");
         std::fs::write(&settings, spec.to_toml())?;
-        let metrics = if role == "agent" { ports::AGENT_METRICS } else { ports::METRICS };
+        let metrics = if role == AGENT { ports::AGENT_METRICS } else { ports::METRICS };
         let mut arguments = self.options.arguments.clone();
         arguments.extend(["--metrics".to_owned(), metrics.to_string()]);
         let process = Process::start(&self.binary, role, &arguments, &settings, &folder)?;
@@ -355,11 +417,20 @@
         Ok(())
     }
 
+    fn front_name(&self, index: usize, role: &str) -> String {
+        if role == AGENT && self.hosts_control(index) {
+            return control_name(index);
+        }
+        format!("front-{index}-{role}")
+    }
+
     fn common_settings(&self, node: String) -> SettingsSpec {
+        let first_seeds =
+            || (0..self.options.controls.min(3)).map(|index| self.control_address(index)).collect();
         SettingsSpec {
             node,
             bootstrap: self.first_start,
-            seeds: (0..self.options.controls.min(3)).map(|index| self.control_address(index)).collect(),
+            seeds: self.seeds.clone().unwrap_or_else(first_seeds),
             tolerated: self.options.tolerated,
             cloud: Some(self.options.cloud),
             bounds: self.options.bounds.clone(),
@@ -369,11 +440,14 @@
     }
 
     fn control_settings(&self, index: usize) -> SettingsSpec {
+        let is_hosted = self.options.placement == Placement::Fronts;
+        let (role, machine_class) = if is_hosted { (AGENT, class::FRONT) } else { ("control", class::CORE) };
         SettingsSpec {
-            role: "control".to_owned(),
-            machine_class: class::CORE,
+            role: role.to_owned(),
+            machine_class,
             serves: vec!["control".to_owned()],
-            ip: self.subnet.control(index).into(),
+            ip: self.control_ip(index).into(),
+            feed_address: is_hosted.then(|| SocketAddr::from((self.subnet.front(index), ports::FEED))),
             bind: self.options.relayed.then(|| IpAddr::from(self.control_bound(index))),
             control: Some(SocketAddr::from((self.control_bound(index), ports::CONTROL))),
             data_dir: Some(self.data_folder(index)),
@@ -384,10 +458,17 @@
 
     fn front_settings(&self, index: usize, role: &str) -> SettingsSpec {
         let is_proxy = role == "proxy";
+        let is_gateway = !is_proxy && self.options.placement == Placement::Fronts;
+        let serves = match (is_proxy, is_gateway) {
+            (true, _) => vec!["front".to_owned()],
+            (false, true) => vec!["control".to_owned()],
+            (false, false) => Vec::new(),
+        };
         SettingsSpec {
+            control: is_gateway.then(|| SocketAddr::from((self.front_bound(index), ports::CONTROL))),
             role: role.to_owned(),
             machine_class: class::FRONT,
-            serves: if is_proxy { vec!["front".to_owned()] } else { Vec::new() },
+            serves,
             ip: self.subnet.front(index).into(),
             bind: self.options.relayed.then(|| IpAddr::from(self.front_bound(index))),
             front: is_proxy.then(|| self.front_address(index)),
@@ -420,10 +501,6 @@
     format!("control-{index}")
 }
 
-fn front_name(index: usize, role: &str) -> String {
-    format!("front-{index}-{role}")
-}
-
 /// Looks again and again until `look` holds; false if it never does. Only for real processes, whose pace is not ours.
 pub async fn poll<F: Future<Output = bool>>(mut look: impl FnMut() -> F) -> bool {
     for _ in 0..MOST_LOOKS {
--- a/crates/emulator/src/operator.rs
+++ b/crates/emulator/src/operator.rs
@@ -78,11 +78,12 @@
 
     /// Sends a configuration on top of `base` until there is a clear answer.
     pub async fn put(&self, body: &[u8], base: u64) -> Verdict {
-        let mut request = Request::new("PUT", "/config");
-        request.headers.push(names::IF_MATCH, base.to_string());
-        request.headers.push(names::CONTENT_TYPE, names::JSON);
-        request.body = body.to_vec();
-        self.call(&request).await
+        self.call(&change("PUT", body, base)).await
+    }
+
+    /// Sends a change of named items on top of `base` until there is a clear answer.
+    pub async fn patch(&self, body: &[u8], base: u64) -> Verdict {
+        self.call(&change("PATCH", body, base)).await
     }
 
     /// Reads the newest configuration.
@@ -115,6 +116,14 @@
     }
 }
 
+fn change(method: &str, body: &[u8], base: u64) -> Request {
+    let mut request = Request::new(method, "/config");
+    request.headers.push(names::IF_MATCH, base.to_string());
+    request.headers.push(names::CONTENT_TYPE, names::JSON);
+    request.body = body.to_vec();
+    request
+}
+
 /// One try at one sidecar, with its redirects.
 pub async fn call_once(address: SocketAddr, request: &Request) -> Result<Answer, CallError> {
     let mut address = address;
--- a/crates/lugwharf/src/commands.rs
+++ b/crates/lugwharf/src/commands.rs
@@ -1,7 +1,7 @@
 //! The subcommands: what each takes, and what it starts.
 
-use crate::logging;
 use crate::usage::UsageError;
+use crate::{front, logging};
 use eyre::{Result, WrapErr};
 use getopts::{Matches, Options};
 use lugwharf_agent::AgentOptions;
@@ -163,7 +163,7 @@
 }
 
 /// One thread: the machines have a fraction of a core, and a second thread would only cost wake-ups and memory.
-fn block_on(task: impl Future<Output = Result<()>>) -> Result<()> {
+pub fn block_on(task: impl Future<Output = Result<()>>) -> Result<()> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().wrap_err("the runtime")?;
     let result = runtime.block_on(task);
@@ -187,8 +187,8 @@
 }
 
 fn run_agent(matches: &Matches) -> Result<()> {
-    let options = AgentOptions { metrics_port: metrics_port(matches)? };
-    block_on(lugwharf_agent::run(settings(matches)?, options))
+    let options = AgentOptions { metrics_port: metrics_port(matches)?, ..AgentOptions::default() };
+    front::run_agent(settings(matches)?, options)
 }
 
 fn run_control(matches: &Matches) -> Result<()> {
@@ -221,6 +221,7 @@
         SettingsError::Unreadable { .. } => eyre::Report::new(error),
         error => eyre::Report::new(error).wrap_err(path.to_owned()),
     })?;
+    settings.control_placement().wrap_err_with(|| path.to_owned())?;
     println!("{path}: node {}, role {}", settings.node, settings.role);
     Ok(())
 }
--- a/crates/lugwharf/src/main.rs
+++ b/crates/lugwharf/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod commands;
+mod front;
 mod logging;
 mod usage;
 
--- a/crates/lugwharf/tests/command_line.rs
+++ b/crates/lugwharf/tests/command_line.rs
@@ -155,6 +155,19 @@
     assert_ends(&output, FAILURE, &[file.path()]);
 }
 
+/// Control is asked for on a machine that counts and has no disk.
+#[rstest]
+#[case::agent(&["agent", "--settings"])]
+#[case::control(&["control", "--settings"])]
+#[case::check(&["check-settings"])]
+fn control_without_a_disk_ends_in_one_plain_line(#[case] arguments: &[&str]) {
+    let control = Some("127.0.0.1:8166".parse().expect("an address"));
+    let spec = SettingsSpec { control, counts_for_quorum: true, ..SettingsSpec::default() };
+    let file = File::new(&format!("no_disk_{}.toml", arguments[0]), &spec.to_toml());
+    let arguments: Vec<&str> = arguments.iter().copied().chain([file.path()]).collect();
+    assert_ends(&run(&arguments), FAILURE, &["DataDir", "missing"]);
+}
+
 #[rstest]
 fn a_file_that_is_not_there_is_named_once(#[values("check-config", "check-settings")] tool: &str) {
     let output = run(&[tool, "/nonexistent/file"]);
--- /dev/null
+++ b/crates/lugwharf/tests/without_core.rs
@@ -0,0 +1,162 @@
+//! A fleet without machines for control: the agents of the fronts that count host it, the others send callers on.
+
+mod support;
+
+use lugwharf_emulator::cluster::{Placement, Signal, poll};
+use lugwharf_emulator::operator::{Operator, Verdict, call_once};
+use lugwharf_emulator::wire::Request;
+use rstest::rstest;
+use serde_json::json;
+use support::{Fleet, HOST, PLAIN_SERVICE, Size, next_configuration};
+
+/// Three fronts that host control, and one that does not.
+const HOSTED: Size = Size { fronts: 4, controls: 3, placement: Placement::Fronts };
+const GATEWAY: usize = 3;
+
+async fn start() -> Fleet {
+    Fleet::start(HOSTED).await
+}
+
+fn gateway(fleet: &Fleet) -> Operator {
+    Operator::new(vec![fleet.cluster.gateway_address(GATEWAY)])
+}
+
+/// A patch that adds a route.
+fn patch(version: u64, prefix: &str) -> Vec<u8> {
+    let route = json!({
+        "Name": format!("added-{version}"), "Host": HOST, "PathPrefix": prefix, "RouteKind": "unsafe",
+        "TimeoutMs": 5_000, "SloMs": 500, "Service": PLAIN_SERVICE
+    });
+    json!({"Version": version, "Upsert": {"Routes": [route]}}).to_string().into_bytes()
+}
+
+fn status(verdict: &Verdict) -> Option<u16> {
+    verdict.status()
+}
+
+#[tokio::test]
+async fn a_front_without_a_replica_sends_calls_on() {
+    let mut fleet = start().await;
+    let address = fleet.cluster.gateway_address(GATEWAY);
+    let answer = call_once(address, &Request::new("GET", "/config")).await.expect("an answer");
+    assert_eq!(answer.status, 200);
+    let bytes = next_configuration(3, "/added/").to_bytes();
+    assert_eq!(status(&gateway(&fleet).put(&bytes, 1).await), Some(200), "{}", fleet.cluster.logs());
+    assert_eq!(gateway(&fleet).get().await.body(), bytes);
+    for front in 0..HOSTED.fronts {
+        assert!(fleet.serves(front, "/added/").await, "front {front}\n{}", fleet.cluster.logs());
+    }
+}
+
+/// Seeds are whatever serves control, so that all of them may be fronts without a replica.
+#[tokio::test]
+async fn processes_whose_seeds_hold_no_replica_find_the_others() {
+    let mut fleet = Fleet::start(Size { fronts: 5, ..HOSTED }).await;
+    fleet.cluster.name_seeds(vec![fleet.cluster.gateway_address(GATEWAY)]);
+    fleet.cluster.kill_control(2).expect("a kill");
+    fleet.cluster.wipe_control(2).expect("a wipe");
+    fleet.cluster.kill_front(GATEWAY + 1, "agent").expect("a kill");
+    let bytes = next_configuration(3, "/added/").to_bytes();
+    assert_eq!(status(&fleet.operator.put(&bytes, 1).await), Some(200), "{}", fleet.cluster.logs());
+    fleet.cluster.start_control(2).expect("a start");
+    fleet.cluster.start_front_process(GATEWAY + 1, "agent").expect("a start");
+    assert!(poll(|| fleet.holds_the_state(2, &[0, 1, 2])).await, "{}", fleet.cluster.logs());
+    assert!(fleet.serves(GATEWAY + 1, "/added/").await, "{}", fleet.cluster.logs());
+}
+
+/// Whoever loses the agent loses the replica with it; the proxy of the machine goes on.
+#[rstest]
+#[case(0)]
+#[case(1)]
+#[case(2)]
+#[tokio::test]
+async fn changes_and_service_outlive_a_machine_that_is_front_and_control(#[case] machine: usize) {
+    let mut fleet = start().await;
+    fleet.cluster.kill_control(machine).expect("a kill");
+    let request = fleet.work();
+    assert!(fleet.send(machine, &request).await.is_success(), "{}", fleet.cluster.logs());
+    let bytes = next_configuration(3, "/added/").to_bytes();
+    assert_eq!(status(&fleet.operator.put(&bytes, 1).await), Some(200), "{}", fleet.cluster.logs());
+    assert_eq!(fleet.read_back().await, Some(bytes));
+    fleet.cluster.start_control(machine).expect("a start");
+    assert!(fleet.serves(machine, "/added/").await, "{}", fleet.cluster.logs());
+}
+
+#[tokio::test]
+async fn a_wiped_machine_joins_again_and_counts() {
+    let mut fleet = start().await;
+    fleet.cluster.kill_control(2).expect("a kill");
+    fleet.cluster.wipe_control(2).expect("a wipe");
+    let second = next_configuration(3, "/second/").to_bytes();
+    assert_eq!(status(&fleet.operator.put(&second, 1).await), Some(200), "{}", fleet.cluster.logs());
+    fleet.cluster.start_control(2).expect("a start");
+    assert!(poll(|| fleet.holds_the_state(2, &[0, 1, 2])).await, "{}", fleet.cluster.logs());
+    fleet.cluster.kill_control(0).expect("a kill");
+    let third = next_configuration(4, "/third/").to_bytes();
+    assert_eq!(status(&fleet.operator.put(&third, 3).await), Some(200), "{}", fleet.cluster.logs());
+    assert_eq!(fleet.read_back().await, Some(third));
+}
+
+#[tokio::test]
+async fn everything_comes_back_after_a_kill_of_all_processes() {
+    let mut fleet = start().await;
+    let bytes = next_configuration(3, "/added/").to_bytes();
+    assert_eq!(status(&fleet.operator.put(&bytes, 1).await), Some(200));
+    fleet.cluster.kill_all().expect("kills");
+    fleet.cluster.start_all().expect("starts");
+    assert_eq!(fleet.read_back().await, Some(bytes), "{}", fleet.cluster.logs());
+    for front in 0..HOSTED.fronts {
+        assert!(fleet.serves(front, "/added/").await, "front {front}\n{}", fleet.cluster.logs());
+    }
+}
+
+/// SIGTERM comes to both processes of a machine at once.
+#[tokio::test]
+async fn a_machine_that_is_front_and_control_ends_in_order_and_comes_back() {
+    let mut fleet = start().await;
+    fleet.cluster.signal_front(1, Signal::Terminate).expect("signals");
+    for name in ["control-1", "front-1-proxy"] {
+        let mut status = None;
+        for _ in 0..600 {
+            status = fleet.cluster.process(name).and_then(|process| process.ended());
+            if status.is_some() {
+                break;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(25)).await;
+        }
+        assert!(
+            status.is_some_and(|status| status.success()),
+            "{name}: {status:?}\n{}",
+            fleet.cluster.logs()
+        );
+    }
+    let bytes = next_configuration(3, "/added/").to_bytes();
+    assert_eq!(status(&fleet.operator.put(&bytes, 1).await), Some(200), "{}", fleet.cluster.logs());
+    fleet.cluster.start_front(1).expect("a start");
+    assert!(fleet.serves(1, "/added/").await, "{}", fleet.cluster.logs());
+}
+
+/// Two patches, the second sent again by way of each machine, also after another change has come.
+#[tokio::test]
+async fn a_patch_alters_what_it_names_and_is_recognised_everywhere() {
+    let mut fleet = start().await;
+    let first = patch(3, "/third/");
+    let second = patch(5, "/fifth/");
+    assert_eq!(status(&fleet.operator.patch(&first, 1).await), Some(200), "{}", fleet.cluster.logs());
+    assert_eq!(status(&fleet.operator.patch(&second, 3).await), Some(200), "{}", fleet.cluster.logs());
+    for prefix in ["/third/", "/fifth/", "/work/"] {
+        assert!(fleet.serves(GATEWAY, prefix).await, "{prefix}\n{}", fleet.cluster.logs());
+    }
+    for machine in 0..HOSTED.controls {
+        let single = Operator::new(vec![fleet.cluster.control_address(machine)]);
+        for (body, base) in [(&second, 3), (&first, 1)] {
+            assert_eq!(status(&single.patch(body, base).await), Some(200), "{}", fleet.cluster.logs());
+        }
+        let other = patch(4, "/other/");
+        assert_eq!(status(&single.patch(&other, 1).await), Some(412), "{}", fleet.cluster.logs());
+    }
+    let before = fleet.read_back().await.expect("a configuration");
+    let unknown = br#"{"Version":9,"Remove":{"Routes":["nowhere"]}}"#;
+    assert_eq!(status(&fleet.operator.patch(unknown, 5).await), Some(400));
+    assert_eq!(fleet.read_back().await, Some(before));
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -104,6 +104,17 @@
     10.0
 }
 
+/// What a front does for callers of control.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ControlPlacement {
+    /// Nothing.
+    None,
+    /// It sends those who call this address on to a control process.
+    Gateway(SocketAddr),
+    /// It hosts a replica.
+    Replica,
+}
+
 /// All settings of one process.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(rename_all = "PascalCase")]
@@ -193,6 +204,20 @@
         InternalPorts::of(self.port_range)
     }
 
+    /// What a process that is no control process of its own does for callers of control. A machine that counts hosts a
+    /// replica, wherever the deployment puts it; any other machine that serves control sends callers on.
+    pub fn control_placement(&self) -> Result<ControlPlacement, SettingsError> {
+        let Some(address) = self.listen.control else { return Ok(ControlPlacement::None) };
+        if !self.counts_for_quorum {
+            return Ok(ControlPlacement::Gateway(address));
+        }
+        if self.data_dir.is_none() {
+            let reason = "is missing on a machine that counts and serves control";
+            return Err(SettingsError::Invalid { field: "DataDir", reason });
+        }
+        Ok(ControlPlacement::Replica)
+    }
+
     /// Where the agent feeds the proxy of its machine.
     pub fn feed_address(&self) -> SocketAddr {
         let port = self.internal_ports().feed;
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -1,6 +1,6 @@
 //! The settings file: what it may look like, and what is said of one that can't be used.
 
-use lugwharf_settings::{InternalPorts, Settings, SettingsError};
+use lugwharf_settings::{ControlPlacement, InternalPorts, Settings, SettingsError};
 use rstest::rstest;
 
 const TEXT: &str = r#"
@@ -72,3 +72,33 @@
         other => panic!("{other:?}"),
     }
 }
+
+const ADDRESS: &str = "10.1.0.13:8166";
+
+/// A machine that serves control as the settings say, if at all.
+fn placement(changes: &[(&str, &str)]) -> Result<ControlPlacement, SettingsError> {
+    let text = changes.iter().fold(TEXT.to_owned(), |text, (from, to)| text.replace(from, to));
+    Settings::parse(&text).expect("readable").control_placement()
+}
+
+const SERVES: (&str, &str) = ("[Listen]", "[Listen]\nControl = \"10.1.0.13:8166\"");
+const COUNTS: (&str, &str) = ("Bootstrap = true", "Bootstrap = true\nCountsForQuorum = true");
+const DOES_NOT_COUNT: (&str, &str) = ("Bootstrap = true", "Bootstrap = true\nCountsForQuorum = false");
+const HAS_A_DISK: (&str, &str) = ("PortRange", "DataDir = \"/data\"\nPortRange");
+
+#[rstest]
+#[case::it_serves_none(&[COUNTS, HAS_A_DISK], ControlPlacement::None)]
+#[case::it_does_not_count(&[SERVES, DOES_NOT_COUNT], ControlPlacement::Gateway(ADDRESS.parse().expect("an address")))]
+#[case::a_disk_alone_does_not_count(&[SERVES, DOES_NOT_COUNT, HAS_A_DISK], ControlPlacement::Gateway(ADDRESS.parse().expect("an address")))]
+#[case::it_counts(&[SERVES, COUNTS, HAS_A_DISK], ControlPlacement::Replica)]
+fn the_settings_say_where_control_runs(#[case] changes: &[(&str, &str)], #[case] wanted: ControlPlacement) {
+    assert_eq!(placement(changes).expect("a placement"), wanted);
+}
+
+#[test]
+fn control_on_a_machine_that_counts_needs_a_disk() {
+    match placement(&[SERVES, COUNTS]) {
+        Err(SettingsError::Invalid { field, .. }) => assert_eq!(field, "DataDir"),
+        other => panic!("{other:?}"),
+    }
+}
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -77,6 +77,7 @@
         let options = ClusterOptions {
             fronts: scenario.fronts,
             controls: scenario.controls,
+            placement: scenario.placement,
             tolerated: if scenario.controls > 3 { 2 } else { 1 },
             cloud: platform.address(),
             bounds: Vec::new(),
@@ -118,9 +119,15 @@
         Ok(())
     }
 
-    /// An operator who knows the control machines in use.
+    /// Where operators call: the control machines in use, and the fronts that send them on.
+    pub fn operator_addresses(&self) -> Vec<SocketAddr> {
+        let controls = self.controls.iter().map(|index| self.cluster.control_address(*index));
+        controls.chain(self.cluster.gateway_addresses()).collect()
+    }
+
+    /// An operator who knows all of them.
     pub fn operator(&self) -> Operator {
-        Operator::new(self.controls.iter().map(|index| self.cluster.control_address(*index)).collect())
+        Operator::new(self.operator_addresses())
     }
 
     /// The control machine in use that a trouble's number stands for.
@@ -128,10 +135,17 @@
         self.controls[target % self.controls.len()]
     }
 
+    /// The agent of a front; the control process, where that is hosted by it.
+    pub fn agent(&self, front: usize) -> Unit {
+        if self.cluster.hosts_control(front) { Unit::Control(front) } else { Unit::Agent(front) }
+    }
+
     /// The name of each process in use.
     pub fn units(&self, fronts: usize) -> Vec<Unit> {
         let controls = self.controls.iter().map(|index| Unit::Control(*index));
-        controls.chain((0..fronts).flat_map(|front| [Unit::Proxy(front), Unit::Agent(front)])).collect()
+        let agents =
+            (0..fronts).map(|front| self.agent(front)).filter(|agent| matches!(agent, Unit::Agent(_)));
+        controls.chain((0..fronts).map(Unit::Proxy)).chain(agents).collect()
     }
 
     /// Whether some trouble keeps the process from running or going on.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -36,6 +36,11 @@
         "startle",
         "ends and freezes processes also while everything starts for the first time",
     );
+    options.optflag(
+        "w",
+        "without-core",
+        "lets the first fronts host control, as where there are no machines for it",
+    );
     options.optflag("k", "keep", "leaves records of seeds that don't fail as well");
     options.optflag("m", "minimize", "leaves out troubles of a failing seed that it fails without");
     options
@@ -53,6 +58,8 @@
     kinds: Vec<Kind>,
     /// Whether the first start has troubles too.
     startles: bool,
+    /// Whether fronts host control.
+    is_without_core: bool,
     /// Whether runs that find nothing leave their records too.
     keeps_all: bool,
 }
@@ -72,6 +79,7 @@
         schedule: matches.opt_str("schedule").map(|path| read_schedule(&path)).transpose()?,
         kinds: kinds(&matches)?,
         startles: matches.opt_present("startle"),
+        is_without_core: matches.opt_present("without-core"),
         keeps_all: matches.opt_present("keep"),
     };
     ensure!(plan.binary.exists(), "no program at {}", plan.binary.display());
@@ -146,7 +154,8 @@
 }
 
 fn scenario(plan: &Plan, seed: u64) -> Scenario {
-    Scenario { startles: plan.startles, ..Scenario::of(seed, plan.overlap, plan.length) }
+    let draw = if plan.is_without_core { Scenario::without_core } else { Scenario::of };
+    Scenario { startles: plan.startles, ..draw(seed, plan.overlap, plan.length) }
 }
 
 fn play(plan: &Plan, seed: u64, schedule: Option<Schedule>) -> Result<Outcome> {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -64,7 +64,7 @@
         return Ok(unopened(schedule, &mut fleet, &error));
     }
     let fronts: Vec<SocketAddr> = fleet.cluster.front_addresses();
-    let addresses = control_addresses(&fleet);
+    let addresses = fleet.operator_addresses();
     let operators = Operators::start(&fleet.world, addresses, scenario.seed);
     let traffic = Traffic::start(&fleet.world, fronts, scenario.seed);
     let mut watch = Watch::default();
@@ -128,10 +128,6 @@
     }
 }
 
-fn control_addresses(fleet: &Fleet) -> Vec<SocketAddr> {
-    fleet.controls.iter().map(|index| fleet.cluster.control_address(*index)).collect()
-}
-
 /// The schedule in the time of the world.
 fn shift(schedule: &Schedule, started: Duration) -> Schedule {
     let mut shifted = schedule.clone();
@@ -184,7 +180,7 @@
                     End::Over => drop(actives.swap_remove(position)),
                     End::Again => steps.push((fleet.world.now() + AGAIN, Step::End(index))),
                 }
-                operators.addresses.send_replace(control_addresses(fleet));
+                operators.addresses.send_replace(fleet.operator_addresses());
             }
             Step::Look => {
                 watch.look(fleet, scenario.fronts).await;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -1,5 +1,6 @@
 //! The troubles of a seed.
 
+use lugwharf_emulator::cluster::Placement;
 use std::fmt;
 use std::str::FromStr;
 use std::time::Duration;
@@ -229,6 +230,8 @@
     pub controls: usize,
     /// Fronts.
     pub fronts: usize,
+    /// Where control runs.
+    pub placement: Placement,
     /// Troubles at a time.
     pub overlap: Overlap,
     /// For how long troubles go on.
@@ -241,7 +244,20 @@
     /// The run of a seed.
     pub fn of(seed: u64, overlap: Overlap, length: Duration) -> Scenario {
         let controls = if seed % 4 == 3 { 5 } else { 3 };
-        Scenario { seed, controls, fronts: 2, overlap, length, startles: false }
+        let placement = Placement::Core;
+        Scenario { seed, controls, fronts: 2, placement, overlap, length, startles: false }
+    }
+
+    /// The run of a seed in a fleet whose fronts host control, with one more front that does not.
+    pub fn without_core(seed: u64, overlap: Overlap, length: Duration) -> Scenario {
+        let scenario = Scenario::of(seed, overlap, length);
+        Scenario { fronts: scenario.controls + 1, placement: Placement::Fronts, ..scenario }
+    }
+
+    /// Whether the rig can bring such a trouble about here. A machine that hosts control is a front as well, whose clients
+    /// would have to follow it to another address.
+    fn allows(&self, kind: Kind) -> bool {
+        self.placement == Placement::Core || kind != Kind::ControlReplace
     }
 }
 
@@ -261,11 +277,12 @@
     /// Draws troubles of these kinds: as many strands as may overlap, each with one trouble after the other.
     pub fn draw_of(scenario: &Scenario, kinds: &[Kind]) -> Schedule {
         let mut rng = fastrand::Rng::with_seed(scenario.seed ^ 0x50a4);
+        let kinds: Vec<Kind> = kinds.iter().copied().filter(|kind| scenario.allows(*kind)).collect();
         let mut troubles = Vec::new();
         for _ in 0..scenario.overlap.0 {
             let mut at = FIRST + Duration::from_millis(rng.u64(0..1_500));
             while at < scenario.length {
-                let trouble = draw_trouble(&mut rng, kinds, at, &troubles);
+                let trouble = draw_trouble(&mut rng, &kinds, at, &troubles);
                 // The next one often begins while this one is being repaired.
                 at = trouble.end() + Duration::from_millis(rng.u64(0..1_200));
                 troubles.push(trouble);
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -33,6 +33,8 @@
     control: usize,
     other: usize,
     front: usize,
+    /// The agent of that front, or the control process that is hosted by it.
+    agent: Unit,
     server: usize,
     /// All control machines as it began.
     controls: Vec<usize>,
@@ -61,6 +63,7 @@
             control,
             other: others[trouble.other % others.len()],
             front: trouble.target % fronts,
+            agent: fleet.agent(trouble.target % fronts),
             server: trouble.target % fleet.servers.len(),
             controls: fleet.controls.clone(),
             added: None,
@@ -86,7 +89,7 @@
             }
             Kind::ControlReplace => self.added = fleet.add_control()?,
             Kind::ProxyKill => fleet.kill(Unit::Proxy(self.front))?,
-            Kind::AgentKill => fleet.kill(Unit::Agent(self.front))?,
+            Kind::AgentKill => fleet.kill(self.agent)?,
             Kind::FrontTerm => {
                 self.front_units().into_iter().try_for_each(|unit| fleet.terminate(unit))?;
             }
@@ -95,7 +98,7 @@
             }
             Kind::ControlDescriptors => fleet.limit_descriptors(control, true)?,
             Kind::ProxyDescriptors => fleet.limit_descriptors(Unit::Proxy(self.front), true)?,
-            Kind::AgentDescriptors => fleet.limit_descriptors(Unit::Agent(self.front), true)?,
+            Kind::AgentDescriptors => fleet.limit_descriptors(self.agent, true)?,
             Kind::Crowd => self.crowd = gather(fleet.cluster.front_address(self.front)).await,
             Kind::Reload => {
                 fleet.units(fronts).into_iter().try_for_each(|unit| fleet.signal(unit, Signal::Reload))?;
@@ -146,14 +149,14 @@
                 }
             }
             Kind::ProxyKill => fleet.release(Unit::Proxy(self.front))?,
-            Kind::AgentKill => fleet.release(Unit::Agent(self.front))?,
+            Kind::AgentKill => fleet.release(self.agent)?,
             Kind::FrontTerm => return restart(fleet, &self.front_units()),
             Kind::FrontFreeze => {
                 self.front_units().into_iter().try_for_each(|unit| fleet.thaw(unit))?;
             }
             Kind::ControlDescriptors => fleet.limit_descriptors(control, false)?,
             Kind::ProxyDescriptors => fleet.limit_descriptors(Unit::Proxy(self.front), false)?,
-            Kind::AgentDescriptors => fleet.limit_descriptors(Unit::Agent(self.front), false)?,
+            Kind::AgentDescriptors => fleet.limit_descriptors(self.agent, false)?,
             Kind::Crowd => self.crowd = Arc::default(),
             Kind::PlatformDark | Kind::PlatformReset => fleet.platform.set_reach(Reach::Open),
             Kind::ServerCrash => fleet.start_server(self.server).await?,
@@ -172,7 +175,7 @@
     }
 
     fn front_units(&self) -> [Unit; 2] {
-        [Unit::Proxy(self.front), Unit::Agent(self.front)]
+        [Unit::Proxy(self.front), self.agent]
     }
 
     /// The links that it harms, and how.
