Give up the lease when a server has seen a higher fencing token

Cause: a 412 to an order counted as any rejection, so that the holder waited 5 s and ordered again under the same token; and an order that was queued checked only the end of its lease, not whether the lease was given up.

Change: OrderOutcome::StaleToken; the elector releases the lease of the refused token, tasks follow the lease by LeaseWatch, which ends queued and running orders and list reads; a server that refuses the tokens of two leases of a process gets no orders from it for 10 minutes (metric, log line).

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -91,6 +91,8 @@
     OrderCompleted {
         /// The server's id, which is new with each incarnation.
         id: String,
+        /// The fencing token under which it was sent.
+        token: u64,
         /// How it ended.
         outcome: OrderOutcome,
     },
--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -175,7 +175,7 @@
             Command::ListReadFailed { epoch, should_step_down } => {
                 self.list_read_failed(epoch, should_step_down);
             }
-            Command::OrderCompleted { id, outcome } => self.order_completed(&id, outcome),
+            Command::OrderCompleted { id, token, outcome } => self.order_completed(&id, token, outcome),
             Command::GetAnnouncement { reply } => send_reply(reply, self.announcement()),
             Command::PeersAnnounced { addresses } => self.learn_announced_processes(&addresses),
             Command::Reload { settings } => self.reload(*settings),
--- a/crates/control/src/controller/list_watcher_role.rs
+++ b/crates/control/src/controller/list_watcher_role.rs
@@ -39,6 +39,12 @@
         });
     }
 
+    /// The lease as tasks see it.
+    #[cfg(test)]
+    pub fn published(&self) -> Option<HeldLease> {
+        *self.lease.borrow()
+    }
+
     /// Records the holder that the elector knows at `now`, and logs a new one (`lease outcome=held`).
     pub fn record_holder(&mut self, now: Duration, known_holder: Option<LeaseHolder>) {
         if self.known_holder != known_holder {
@@ -68,6 +74,8 @@
     pub(super) fn handle_elector_event(&mut self, event: election::Event) {
         let mut actions = Vec::new();
         self.elector.handle(self.now(), event, &mut actions);
+        // First of all, so that nothing more is done under a lease whose release is about to be sent.
+        self.list_watcher_role.publish(self.held_lease());
         for action in actions {
             match action {
                 election::Action::Send { to, message } => {
@@ -88,7 +96,6 @@
         }
         let known_holder = self.elector.known_holder();
         self.list_watcher_role.record_holder(self.now(), known_holder);
-        self.list_watcher_role.publish(self.held_lease());
     }
 
     /// The lease, if this process holds it now.
--- a/crates/control/src/controller/server_list.rs
+++ b/crates/control/src/controller/server_list.rs
@@ -68,7 +68,7 @@
             debug!("lease", kv: { role = ROLE_NAME, outcome = "retained", token = epoch });
             return;
         }
-        warn!("lease", kv: { role = ROLE_NAME, outcome = "stepped_down", token = epoch });
+        warn!("lease", kv: { role = ROLE_NAME, outcome = "stepped_down", reason = "platform", token = epoch });
         self.metrics.stand_downs.inc();
         self.platform_reachability.record_failure(now);
         // Before the lease is vacant, so that it does not come back here before all others have tried.
--- a/crates/control/src/controller/stage_planning.rs
+++ b/crates/control/src/controller/stage_planning.rs
@@ -2,10 +2,11 @@
 
 use super::Controller;
 use super::fleet_load::FleetLoad;
-use crate::lease::HeldLease;
+use super::list_watcher_role::ROLE_NAME;
 use crate::metrics::order_outcome_name;
 use crate::orders::AuthorizedOrder;
 use lugwharf_config::Configuration;
+use lugwharf_election::{self as election, FencingToken};
 use lugwharf_protocol::{ServerEntry, ServerState};
 use lugwharf_stages::target::Demand;
 use lugwharf_stages::{Order, OrderOutcome, Planner, PlannerSettings, StageTuning};
@@ -96,11 +97,11 @@
         }
     }
 
-    /// Queues the orders that are due, under this lease.
-    pub fn send_due(&mut self, now: Duration, node: &str, lease: HeldLease) {
+    /// Queues the orders that are due, under the lease with this fencing token.
+    pub fn send_due(&mut self, now: Duration, node: &str, token: u64) {
         for order in self.planner.due_orders(now) {
-            info!("order", kv: { outcome = "sent", id = order.id.as_str(), stage:? = order.stage, token = lease.token });
-            self.enqueue(now, AuthorizedOrder { order, holder: node.to_owned(), lease });
+            info!("order", kv: { outcome = "sent", id = order.id.as_str(), stage:? = order.stage, token });
+            self.enqueue(now, AuthorizedOrder { order, holder: node.to_owned(), token });
         }
     }
 
@@ -120,6 +121,11 @@
         self.planner.record_outcome(now, id, outcome, switch);
     }
 
+    /// Records that a server rejected a fencing token of this process; returns whether it gets no more orders for a while.
+    pub fn record_stale_token(&mut self, now: Duration, id: &str, token: u64) -> bool {
+        self.planner.record_stale_token(now, id, token)
+    }
+
     /// Ids of these servers that have been ordered to change their stage, or are about to be.
     pub fn changing<'a>(&self, entries: impl Iterator<Item = &'a ServerEntry>) -> BTreeSet<String> {
         let as_ready = |entry: &ServerEntry| ServerEntry { state: ServerState::Ready, ..entry.clone() };
@@ -135,15 +141,33 @@
     pub(super) fn send_due_orders(&mut self) {
         let now = self.now();
         let Some(lease) = self.held_lease() else { return };
-        self.stage_planning.send_due(now, &self.settings.node, lease);
+        self.stage_planning.send_due(now, &self.settings.node, lease.token);
     }
 
-    /// An order has ended.
-    pub(super) fn order_completed(&mut self, id: &str, outcome: OrderOutcome) {
+    /// An order under the lease with this fencing token has ended. What an earlier lease began changes nothing in this one.
+    pub(super) fn order_completed(&mut self, id: &str, token: u64, outcome: OrderOutcome) {
         let now = self.now();
-        let service = self.tables.servers().get(id).map(|entry| entry.service.as_str());
-        info!("order", kv: { outcome = order_outcome_name(outcome), id });
+        info!("order", kv: { outcome = order_outcome_name(outcome), id, token });
         self.metrics.record_order(outcome);
-        self.stage_planning.complete(now, id, service, outcome);
+        if self.holds_lease(token) {
+            let service = self.tables.servers().get(id).map(|entry| entry.service.as_str());
+            self.stage_planning.complete(now, id, service, outcome);
+        }
+        if outcome == OrderOutcome::StaleToken {
+            self.token_refused(now, id, token);
+        }
+    }
+
+    /// A server has seen a higher fencing token than this one: nothing more is done under it, also no read of the list.
+    fn token_refused(&mut self, now: Duration, id: &str, token: u64) {
+        if self.stage_planning.record_stale_token(now, id, token) {
+            warn!("order", kv: { outcome = "suspended", id, token });
+            self.metrics.suspensions.inc();
+        }
+        if self.holds_lease(token) {
+            warn!("lease", kv: { role = ROLE_NAME, outcome = "stepped_down", reason = "stale_token", token });
+            self.metrics.stand_downs.inc();
+        }
+        self.handle_elector_event(election::Event::TokenRefused { token: FencingToken(token) });
     }
 }
--- a/crates/control/src/controller/stage_planning_tests.rs
+++ b/crates/control/src/controller/stage_planning_tests.rs
@@ -2,7 +2,6 @@
 
 use super::fleet_load::FleetLoad;
 use super::stage_planning::StagePlanning;
-use crate::lease::HeldLease;
 use crate::orders::AuthorizedOrder;
 use crate::status_tests::server;
 use lugwharf_protocol::{ServerEntry, ServerState, Stage};
@@ -10,7 +9,6 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::sync::mpsc::{self, Receiver};
-use tokio::time::Instant;
 
 const CONFIGURATION: &[u8] =
     br#"{"Version":1,"Routes":[],"Services":[{"Name":"model","Engine":{"Slots":16,"SwitchS":2}}]}"#;
@@ -18,6 +16,8 @@
 const PLANNED_AT: Duration = Duration::from_secs(4);
 /// After the announcement has reached all proxies (300 ms).
 const DUE_AT: Duration = Duration::from_secs(5);
+/// The fencing token of the lease.
+const TOKEN: u64 = 7;
 
 fn planning(tuning: StageTuning) -> (StagePlanning, Receiver<AuthorizedOrder>) {
     let (order_queue, orders) = mpsc::channel(1);
@@ -38,10 +38,6 @@
     draining.map(|entry| entry.id.clone()).collect()
 }
 
-fn lease() -> HeldLease {
-    HeldLease { token: 7, expires_at: Instant::now() }
-}
-
 #[test]
 fn server_that_changes_its_stage_is_draining_in_the_list_and_gets_one_order() {
     let (mut planning, mut orders) = planning(StageTuning::default());
@@ -50,13 +46,13 @@
     let changing = draining(&entries);
     assert_eq!(changing.len(), 1, "{entries:?}");
     assert_eq!(planning.changing(entries.iter()), changing);
-    planning.send_due(PLANNED_AT, "core-1", lease());
+    planning.send_due(PLANNED_AT, "core-1", TOKEN);
     assert!(orders.try_recv().is_err(), "the announcement is under way");
-    planning.send_due(DUE_AT, "core-1", lease());
-    let AuthorizedOrder { order, holder, lease } = orders.try_recv().expect("an order");
-    assert_eq!((holder.as_str(), lease.token, order.stage), ("core-1", 7, Stage::Decode));
+    planning.send_due(DUE_AT, "core-1", TOKEN);
+    let AuthorizedOrder { order, holder, token } = orders.try_recv().expect("an order");
+    assert_eq!((holder.as_str(), token, order.stage), ("core-1", TOKEN, Stage::Decode));
     assert!(changing.contains(&order.id), "{order:?}");
-    planning.send_due(DUE_AT, "core-1", lease);
+    planning.send_due(DUE_AT, "core-1", token);
     assert!(orders.try_recv().is_err(), "it was sent once");
 }
 
@@ -66,7 +62,7 @@
         let (mut planning, mut orders) = planning(StageTuning::default());
         let mut entries = prefill_servers();
         planning.plan(PLANNED_AT, &mut entries, &FleetLoad::default());
-        planning.send_due(DUE_AT, "core-1", lease());
+        planning.send_due(DUE_AT, "core-1", TOKEN);
         let id = orders.try_recv().expect("an order").order.id;
         planning.complete(DUE_AT, &id, Some("model"), outcome);
         assert_eq!(!planning.changing(entries.iter()).is_empty(), still_changes, "{outcome:?}");
@@ -79,7 +75,7 @@
     let mut entries = prefill_servers();
     planning.plan(PLANNED_AT, &mut entries, &FleetLoad::default());
     drop(orders);
-    planning.send_due(DUE_AT, "core-1", lease());
+    planning.send_due(DUE_AT, "core-1", TOKEN);
     assert!(planning.changing(entries.iter()).is_empty());
 }
 
--- a/crates/control/src/controller/startup.rs
+++ b/crates/control/src/controller/startup.rs
@@ -14,6 +14,7 @@
 use super::state_machine_settings::{elector_settings, replica_settings};
 use super::view_tracker::ViewTracker;
 use crate::command::Command;
+use crate::lease::LeaseWatch;
 use crate::list_watcher;
 use crate::metrics::{Metrics, RejectionCounters};
 use crate::orders;
@@ -81,7 +82,8 @@
 ) -> (ListWatcherRole, StagePlanning) {
     let (list_watcher_role, lease) = ListWatcherRole::new();
     let (order_queue, orders) = mpsc::channel(ORDER_QUEUE_LENGTH);
-    tokio::spawn(orders::run(orders, commands.clone()));
+    let lease = LeaseWatch::new(lease);
+    tokio::spawn(orders::run(orders, lease.clone(), commands.clone()));
     if let Some(cloud) = settings.cloud.clone() {
         tokio::spawn(list_watcher::initial_read(cloud.clone(), commands.clone()));
         tokio::spawn(list_watcher::run(cloud, lease, commands.clone()));
--- a/crates/control/src/controller_tests.rs
+++ b/crates/control/src/controller_tests.rs
@@ -10,7 +10,7 @@
     AgentRequest, ControlReply, ServerEntry, ServerState, Update, VersionVector, decode,
 };
 use lugwharf_settings::Settings;
-use lugwharf_stages::StageTuning;
+use lugwharf_stages::{OrderOutcome, StageTuning};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -183,6 +183,37 @@
     drop(std::fs::remove_dir_all(directory));
 }
 
+/// A server has seen a higher token: nothing is done under this one any more, and the next lease has a higher token that a
+/// majority has granted.
+#[tokio::test]
+async fn refused_token_ends_its_lease_at_once_and_no_later_one() {
+    let directory = folder("refused-token");
+    let (mut controller, _commands, mut queue) = start(&directory);
+    bootstrap(&mut controller, &mut queue).await;
+    let token = acquire_lease(&mut controller, &mut queue).await;
+    let refused_by = |id: &str, token| Command::OrderCompleted {
+        id: id.to_owned(),
+        token,
+        outcome: OrderOutcome::StaleToken,
+    };
+    let refused = |token| refused_by("i-1", token);
+    controller.handle(refused_by("i-0", token - 1));
+    assert_eq!(controller.held_lease().map(|lease| lease.token), Some(token), "that was an earlier lease");
+    controller.handle(refused(token));
+    assert_eq!(controller.held_lease(), None);
+    assert_eq!(controller.list_watcher_role.published(), None, "tasks may act under it no more");
+    controller.handle(Command::ListRead { epoch: token, entries: list("late") });
+    assert!(server_ids(&controller).is_empty());
+    let next = acquire_lease(&mut controller, &mut queue).await;
+    assert!(next > token);
+    controller.handle(refused(token));
+    assert_eq!(controller.held_lease().map(|lease| lease.token), Some(next), "the refusal came twice");
+    assert_eq!((controller.metrics.stand_downs.get(), controller.metrics.suspensions.get()), (1, 0));
+    controller.handle(refused(next));
+    assert_eq!((controller.metrics.stand_downs.get(), controller.metrics.suspensions.get()), (2, 1));
+    drop(std::fs::remove_dir_all(directory));
+}
+
 #[tokio::test]
 async fn reply_to_an_announcement_names_this_process_and_never_has_a_quorum() {
     let directory = folder("announcement");
--- a/crates/control/src/list_watcher.rs
+++ b/crates/control/src/list_watcher.rs
@@ -5,12 +5,12 @@
 //! `debug` for the next ones) and retried after 250 ms; after 1.2 s without a response the controller is told to step down.
 
 use crate::command::{Command, notify};
-use crate::lease::HeldLease;
+use crate::lease::LeaseWatch;
 use crate::platform_client::{PlatformClient, PlatformError};
 use lugwharf_settings::Cloud;
 use spdlog::prelude::*;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// How often the list is read. A server that leaves has to be known at every front within `DrainMs` (3 s) of the list
@@ -46,13 +46,11 @@
 
 /// Reads the list while `lease` has one, and each page only while that lease is valid by the clock: after a pause of the
 /// process this task may run before the controller.
-pub async fn run(
-    cloud: Cloud, mut lease: watch::Receiver<Option<HeldLease>>, commands: mpsc::Sender<Command>,
-) {
+pub async fn run(cloud: Cloud, mut lease: LeaseWatch, commands: mpsc::Sender<Command>) {
     let mut client = PlatformClient::new(cloud.address);
     loop {
-        let Some(HeldLease { token, .. }) = *lease.borrow_and_update() else {
-            if lease.changed().await.is_err() {
+        let Some(token) = lease.current_token() else {
+            if lease.changed().await.is_none() {
                 return;
             }
             continue;
@@ -65,8 +63,7 @@
 
 /// Reads under one token until it is lost. `None` if the process is ending.
 async fn watch_under_lease(
-    client: &mut PlatformClient, token: u64, lease: &mut watch::Receiver<Option<HeldLease>>,
-    commands: &mpsc::Sender<Command>,
+    client: &mut PlatformClient, token: u64, lease: &mut LeaseWatch, commands: &mpsc::Sender<Command>,
 ) -> Option<()> {
     let mut failures = 0;
     let mut outage = PlatformOutage::default();
@@ -74,8 +71,8 @@
         let started_at = Instant::now();
         let current = lease.clone();
         let read = tokio::select! {
-            read = client.list_servers(|| is_lease_valid(&current, token)) => read,
-            changed = lease.changed() => return changed.ok(),
+            read = client.list_servers(|| current.holds(token)) => read,
+            changed = lease.changed() => return changed,
         };
         let pause = match read {
             Ok(entries) => {
@@ -85,7 +82,7 @@
                 READ_INTERVAL
             }
             // The controller finds this too, at its next event.
-            Err(PlatformError::LeaseExpired) => return lease.changed().await.ok(),
+            Err(PlatformError::LeaseExpired) => return lease.changed().await,
             Err(error) => {
                 failures += 1;
                 log_failure(&error, failures);
@@ -96,16 +93,11 @@
         };
         tokio::select! {
             () = sleep_until(started_at + pause) => {}
-            changed = lease.changed() => return changed.ok(),
+            changed = lease.changed() => return changed,
         }
     }
 }
 
-/// Whether the lease under this token is valid at this moment.
-fn is_lease_valid(lease: &watch::Receiver<Option<HeldLease>>, token: u64) -> bool {
-    lease.borrow().is_some_and(|lease| lease.token == token && lease.is_valid(Instant::now()))
-}
-
 /// How long the platform has not responded to this process.
 #[derive(Debug, Default)]
 pub struct PlatformOutage {
--- a/crates/control/src/list_watcher_tests.rs
+++ b/crates/control/src/list_watcher_tests.rs
@@ -1,6 +1,6 @@
 //! When the list watcher may send a request, and when an outage makes it step down.
 
-use crate::lease::HeldLease;
+use crate::lease::{HeldLease, LeaseWatch};
 use crate::list_watcher::{PlatformOutage, run};
 use crate::platform_client::PlatformError;
 use hyper::StatusCode;
@@ -58,7 +58,7 @@
     let address = platform.local_addr().expect("bound");
     let (_role, holding) = watch::channel(Some(HeldLease { token: 7, expires_at: Instant::now() + left }));
     let (commands, _queue) = mpsc::channel(1);
-    tokio::spawn(run(Cloud { address, rate_per_s: 1.0, lag_ms: 0 }, holding, commands));
+    tokio::spawn(run(Cloud { address, rate_per_s: 1.0, lag_ms: 0 }, LeaseWatch::new(holding), commands));
     let (mut stream, _) = platform.accept().await.expect("a connection");
     let mut bytes = [0; 64];
     let asked = timeout(Duration::from_millis(500), stream.read(&mut bytes)).await;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -80,8 +80,10 @@
     /// Failed reads of the platform's list.
     pub list_failures: Counter,
     /// Times that this process stepped down as list watcher: its reads of the platform's list kept failing, and a peer might
-    /// reach the platform. A resignation at shutdown is not counted, though the help text would allow it.
+    /// reach the platform; or a server had seen a higher fencing token. A resignation at shutdown is not counted, though the help text would allow it.
     pub stand_downs: Counter,
+    /// Servers that get no more orders for a while, as they rejected fencing tokens of two leases.
+    pub suspensions: Counter,
     orders: Family<AnswerLabel, Counter>,
     pulls: Family<AnswerLabel, Counter>,
     servers: Family<ServerLabels, Gauge>,
@@ -154,6 +156,7 @@
             list_reads: Counter::default(),
             list_failures: Counter::default(),
             stand_downs: Counter::default(),
+            suspensions: Counter::default(),
             orders: Family::default(),
             pulls: Family::default(),
             servers: Family::default(),
@@ -166,6 +169,11 @@
             ("list_reads", "Readings of the platform's list", &metrics.list_reads),
             ("list_failures", "Readings of the platform's list that failed", &metrics.list_failures),
             ("stand_downs", "Times that the list reader's role was handed on", &metrics.stand_downs),
+            (
+                "order_suspensions",
+                "Servers that get no more orders, as they refused the fences of two holds",
+                &metrics.suspensions,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
@@ -220,6 +228,7 @@
         OrderOutcome::Accepted => "taken",
         OrderOutcome::Unknown => "unclear",
         OrderOutcome::Rejected => "refused",
+        OrderOutcome::StaleToken => "stale_token",
     }
 }
 
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -1,11 +1,11 @@
 //! Sends orders to model servers: `POST /order`, each under the lease and fencing token of the list watcher.
 //!
-//! Orders run concurrently, each on a connection of its own. Nothing is sent once the lease has ended, and an order without a
-//! response is aborted by a reset, so that it can't arrive after another process acquired the lease. Each order ends with one
-//! [`Command::OrderCompleted`]; errors are logged (`order outcome=withheld` or `failed`).
+//! Orders run concurrently, each on a connection of its own. Nothing is sent once the lease has ended or was given up, and an
+//! order without a response by then is aborted by a reset, so that it can't arrive after another process acquired the lease.
+//! Each order ends with one [`Command::OrderCompleted`]; errors are logged (`order outcome=withheld` or `failed`).
 
 use crate::command::{Command, notify};
-use crate::lease::HeldLease;
+use crate::lease::LeaseWatch;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::handshake;
@@ -21,8 +21,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::error::Elapsed;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::timeout;
 
 #[cfg(test)]
 #[path = "orders_tests.rs"]
@@ -33,24 +32,25 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// An order with the lease that authorises it.
+#[derive(Debug)]
 pub struct AuthorizedOrder {
     /// The order.
     pub order: Order,
     /// The node name of the lease holder.
     pub holder: String,
-    /// The lease; nothing is sent after its end.
-    pub lease: HeldLease,
+    /// The fencing token of the lease; nothing is sent once that lease is over.
+    pub token: u64,
 }
 
 /// Why an order has no response. The text is logged as `error` of `order outcome=failed`.
 #[derive(Debug, thiserror::Error)]
 enum OrderError {
-    /// The lease ended before the order was sent, as after a pause of this process.
+    /// The lease ended before the order was sent, as after a pause of this process or a rejection of its token.
     #[error("the lease has ended")]
     LeaseEnded,
     /// The lease ended while the order was in flight.
-    #[error(transparent)]
-    LeaseEndedInFlight(#[from] Elapsed),
+    #[error("the lease has ended meanwhile")]
+    LeaseEndedInFlight,
     /// The request could not be built, as for an id that is no header value.
     #[error(transparent)]
     Request(#[from] hyper::http::Error),
@@ -76,23 +76,26 @@
 }
 
 /// Sends the queued orders until the queue is closed.
-pub async fn run(mut orders: mpsc::Receiver<AuthorizedOrder>, commands: mpsc::Sender<Command>) {
+pub async fn run(
+    mut orders: mpsc::Receiver<AuthorizedOrder>, lease: LeaseWatch, commands: mpsc::Sender<Command>,
+) {
     while let Some(authorized) = orders.recv().await {
-        let commands = commands.clone();
+        let (lease, commands) = (lease.clone(), commands.clone());
         tokio::spawn(async move {
-            let outcome = execute(&authorized).await;
-            notify(&commands, Command::OrderCompleted { id: authorized.order.id, outcome }).await;
+            let outcome = execute(&authorized, &lease).await;
+            let AuthorizedOrder { order, token, .. } = authorized;
+            notify(&commands, Command::OrderCompleted { id: order.id, token, outcome }).await;
         });
     }
 }
 
 /// Sends one order and classifies how it ended.
-async fn execute(authorized: &AuthorizedOrder) -> OrderOutcome {
+async fn execute(authorized: &AuthorizedOrder, lease: &LeaseWatch) -> OrderOutcome {
     let id = authorized.order.id.as_str();
-    match timeout(RESPONSE_TIMEOUT, send(authorized)).await {
+    match timeout(RESPONSE_TIMEOUT, send(authorized, lease)).await {
         Ok(Ok(status)) => classify_response(status),
         Ok(Err(OrderError::LeaseEnded)) => {
-            warn!("order", kv: { outcome = "withheld", id, token = authorized.lease.token });
+            warn!("order", kv: { outcome = "withheld", id, token = authorized.token });
             OrderOutcome::Rejected
         }
         Ok(Err(error)) => {
@@ -104,19 +107,20 @@
 }
 
 fn classify_response(status: StatusCode) -> OrderOutcome {
-    match status.as_u16() {
-        200 | 202 => OrderOutcome::Accepted,
-        400..=499 => OrderOutcome::Rejected,
+    match status {
+        StatusCode::OK | StatusCode::ACCEPTED => OrderOutcome::Accepted,
+        StatusCode::PRECONDITION_FAILED => OrderOutcome::StaleToken,
+        status if status.is_client_error() => OrderOutcome::Rejected,
         _ => OrderOutcome::Unknown,
     }
 }
 
-async fn send(authorized: &AuthorizedOrder) -> Result<StatusCode, OrderError> {
+async fn send(authorized: &AuthorizedOrder, lease: &LeaseWatch) -> Result<StatusCode, OrderError> {
     let stage = match authorized.order.stage {
         Stage::Prefill => "prefill",
         Stage::Decode => "decode",
     };
-    let body = StageOrder { op: "Stage", stage, holder: &authorized.holder, fence: authorized.lease.token };
+    let body = StageOrder { op: "Stage", stage, holder: &authorized.holder, fence: authorized.token };
     let request = Request::post("/order")
         .header(HOST, authorized.order.address.to_string())
         .header(CONTENT_TYPE, "application/json")
@@ -126,12 +130,11 @@
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
     let (mut sender, connection) = handshake(TokioIo::new(stream)).await?;
-    let now = Instant::now();
-    if !authorized.lease.is_valid(now) {
+    if !lease.holds(authorized.token) {
         return Err(OrderError::LeaseEnded);
     }
-    check(Invariant::OrderUnderLease, authorized.lease.is_valid(now), || {
-        format!("token {}", authorized.lease.token)
+    check(Invariant::OrderUnderLease, lease.holds(authorized.token), || {
+        format!("token {}", authorized.token)
     });
     let exchange = sender.send_request(request);
     tokio::pin!(connection, exchange);
@@ -145,5 +148,9 @@
             }
         }
     };
-    timeout_at(authorized.lease.expires_at, answer).await?
+    tokio::select! {
+        biased;
+        answer = answer => answer,
+        () = lease.clone().lost(authorized.token) => Err(OrderError::LeaseEndedInFlight),
+    }
 }
--- a/crates/control/src/orders_tests.rs
+++ b/crates/control/src/orders_tests.rs
@@ -1,35 +1,56 @@
-//! Orders are sent under a lease that runs, and not under one that has ended.
+//! Orders are sent under a lease that is held, and not under one that has ended or was given up.
 
 use super::{AuthorizedOrder, run};
 use crate::command::Command;
-use crate::lease::HeldLease;
+use crate::lease::{HeldLease, LeaseWatch};
 use lugwharf_protocol::Stage;
 use lugwharf_stages::{Order, OrderOutcome};
+use rstest::rstest;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 /// Longer than any test.
 const LONG: Duration = Duration::from_secs(600);
 
+/// The fencing token of the orders.
+const TOKEN: u64 = 7;
+
+fn lease_until(expires_at: Instant) -> Option<HeldLease> {
+    Some(HeldLease { token: TOKEN, expires_at })
+}
+
 /// Sends one order under a lease that ends at `until`; returns how it ended.
 async fn send_order(address: SocketAddr, until: Instant) -> OrderOutcome {
+    let (_role, lease) = watch::channel(lease_until(until));
+    send_order_under(address, lease).await
+}
+
+/// Sends one order under a lease; returns how it ended.
+async fn send_order_under(address: SocketAddr, lease: watch::Receiver<Option<HeldLease>>) -> OrderOutcome {
     let (orders, queue) = mpsc::channel(1);
     let (commands, mut done) = mpsc::channel(1);
-    tokio::spawn(run(queue, commands));
+    tokio::spawn(run(queue, LeaseWatch::new(lease), commands));
     let order = Order { id: "i-1".to_owned(), address, stage: Stage::Decode };
-    let lease = HeldLease { token: 7, expires_at: until };
-    let authorized = AuthorizedOrder { order, holder: "core-1".to_owned(), lease };
+    let authorized = AuthorizedOrder { order, holder: "core-1".to_owned(), token: TOKEN };
     orders.send(authorized).await.expect("a queue");
     match done.recv().await {
-        Some(Command::OrderCompleted { id, outcome }) if id == "i-1" => outcome,
+        Some(Command::OrderCompleted { id, token: TOKEN, outcome }) if id == "i-1" => outcome,
         _ => panic!("no end of the order"),
     }
 }
 
+/// Accepts a connection and returns what arrives on it until its end.
+async fn receive_until_end(listener: TcpListener) -> Vec<u8> {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    let mut received = Vec::new();
+    let _ = stream.read_to_end(&mut received).await;
+    received
+}
+
 #[tokio::test]
 async fn order_names_its_server_its_holder_and_its_token() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
@@ -55,12 +76,7 @@
 async fn no_order_is_sent_after_the_lease_has_ended() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address");
-    let server = tokio::spawn(async move {
-        let (mut stream, _) = listener.accept().await.expect("a connection");
-        let mut received = Vec::new();
-        let _ = stream.read_to_end(&mut received).await;
-        received
-    });
+    let server = tokio::spawn(receive_until_end(listener));
     assert_eq!(send_order(address, Instant::now()).await, OrderOutcome::Rejected);
     assert_eq!(server.await.expect("a connection"), b"");
 }
@@ -75,3 +91,77 @@
     assert_eq!(send_order(address, started_at + left).await, OrderOutcome::Unknown);
     assert!(started_at.elapsed() <= left + Duration::from_millis(1), "{:?}", started_at.elapsed());
 }
+
+/// A server that has seen a higher token refuses all that its sender does, not just this order.
+#[rstest]
+#[case::accepted(202, OrderOutcome::Accepted)]
+#[case::has_the_stage(200, OrderOutcome::Accepted)]
+#[case::no_such_order(400, OrderOutcome::Rejected)]
+#[case::another_order(409, OrderOutcome::Rejected)]
+#[case::higher_token_was_seen(412, OrderOutcome::StaleToken)]
+#[case::another_incarnation(421, OrderOutcome::Rejected)]
+#[case::failed(500, OrderOutcome::Unknown)]
+#[tokio::test]
+async fn outcome_follows_from_the_status(#[case] status: u16, #[case] wanted: OrderOutcome) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut received = Vec::new();
+        while !received.ends_with(b"}") {
+            assert!(stream.read_buf(&mut received).await.expect("bytes") > 0, "it ends early");
+        }
+        let response = format!("HTTP/1.1 {status} x\r\nContent-Length: 0\r\n\r\n");
+        stream.write_all(response.as_bytes()).await.expect("an answer");
+        stream.read_to_end(&mut received).await
+    });
+    assert_eq!(send_order(address, Instant::now() + LONG).await, wanted);
+}
+
+/// The order was queued under a lease that would run for long, and was given up before its turn.
+#[rstest]
+#[case::nobody(None)]
+#[case::a_later_token(Some(HeldLease { token: TOKEN + 1, expires_at: Instant::now() + LONG }))]
+#[tokio::test]
+async fn queued_order_is_withheld_once_the_lease_was_given_up(#[case] lease: Option<HeldLease>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let server = tokio::spawn(receive_until_end(listener));
+    let (_role, lease) = watch::channel(lease);
+    assert_eq!(send_order_under(address, lease).await, OrderOutcome::Rejected);
+    assert_eq!(server.await.expect("a connection"), b"");
+}
+
+/// The server has read the order and does not respond when the lease is given up: the connection is reset at once.
+#[tokio::test]
+async fn order_in_flight_is_aborted_when_the_lease_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let (role, lease) = watch::channel(lease_until(Instant::now() + LONG));
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut received = Vec::new();
+        while !received.ends_with(b"}") {
+            assert!(stream.read_buf(&mut received).await.expect("bytes") > 0, "it ends early");
+        }
+        role.send_replace(None);
+        stream.read_buf(&mut received).await.map_err(|error| error.kind())
+    });
+    assert_eq!(send_order_under(address, lease).await, OrderOutcome::Unknown);
+    assert_eq!(server.await.expect("a connection"), Err(std::io::ErrorKind::ConnectionReset));
+}
+
+/// A renewal moves the end of the lease and wakes nobody: the order goes on behind the end that it began with.
+#[tokio::test(start_paused = true)]
+async fn order_in_flight_outlasts_the_first_end_of_a_lease_that_is_renewed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let started_at = Instant::now();
+    let (role, lease) = watch::channel(lease_until(started_at + Duration::from_millis(100)));
+    role.send_if_modified(|lease| {
+        *lease = lease_until(started_at + LONG);
+        false
+    });
+    assert_eq!(send_order_under(address, lease).await, OrderOutcome::Unknown);
+    assert!(started_at.elapsed() >= Duration::from_millis(700), "{:?}", started_at.elapsed());
+}
--- a/crates/election/src/elector.rs
+++ b/crates/election/src/elector.rs
@@ -105,6 +105,7 @@
             Event::Persisted { batch } => self.on_persisted(now, batch, actions),
             Event::PersistFailed { batch } => self.on_persist_failed(now, batch, actions),
             Event::StepDown { backoff } => self.step_down(now, backoff, actions),
+            Event::TokenRefused { token } => self.on_token_refused(now, token, actions),
             Event::Resign => self.resign(now, actions),
         }
         self.advance(now, actions);
--- a/crates/election/src/elector/holding.rs
+++ b/crates/election/src/elector/holding.rs
@@ -54,6 +54,16 @@
         }
     }
 
+    /// Releases the lease under a token that was refused for a higher one.
+    ///
+    /// Within the bounds of clock drift no other holder acts while the lease runs, so either a clock was out of bounds or
+    /// whoever refused is wrong. An election decides between them: its token is above all that a majority knows.
+    pub(super) fn on_token_refused(&mut self, now: Duration, token: FencingToken, actions: &mut Vec<Action>) {
+        if matches!(&self.state, ElectorState::Holder(held) if held.token == token) {
+            self.release_lease(now, token, actions);
+        }
+    }
+
     pub(super) fn resign(&mut self, now: Duration, actions: &mut Vec<Action>) {
         self.has_resigned = true;
         self.become_follower(now, actions);
--- a/crates/election/src/event.rs
+++ b/crates/election/src/event.rs
@@ -2,6 +2,7 @@
 
 use crate::action::BatchId;
 use crate::message::Message;
+use crate::token::FencingToken;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -53,6 +54,13 @@
         /// can be elected.
         backoff: Duration,
     },
+    /// An act under `token` was refused, since another one had been done under a higher token. The lease under that token
+    /// ends at once and is released; this process may be elected again, under a new token that a majority grants. Any other
+    /// token changes nothing: the refusal is late, or came twice.
+    TokenRefused {
+        /// The token of the refused act.
+        token: FencingToken,
+    },
     /// This process is about to stop: it releases the role and is never a candidate again. It still votes.
     Resign,
 }
--- a/crates/election/tests/elector/main.rs
+++ b/crates/election/tests/elector/main.rs
@@ -3,5 +3,6 @@
 mod campaigns;
 mod fencing_tokens;
 mod harness;
+mod refused_tokens;
 mod views;
 mod voting;
--- a/crates/election/tests/simulation/faults.rs
+++ b/crates/election/tests/simulation/faults.rs
@@ -31,7 +31,7 @@
     world.run_for(Duration::from_secs(4));
 }
 
-fn inject_fault(world: &mut World) {
+pub fn inject_fault(world: &mut World) {
     let process = world.random.usize(..world.len());
     let other = world.random.usize(..world.len());
     match world.random.u8(..19) {
--- a/crates/election/tests/simulation/main.rs
+++ b/crates/election/tests/simulation/main.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod partitions;
 mod process;
+mod refusals;
 mod trace;
 mod world;
 
--- a/crates/election/tests/simulation/world.rs
+++ b/crates/election/tests/simulation/world.rs
@@ -267,6 +267,16 @@
         self.deliver(process, Event::StepDown { backoff });
     }
 
+    /// A server refused an act of the process under this token.
+    pub fn refuse_token(&mut self, process: usize, token: FencingToken) {
+        self.deliver(process, Event::TokenRefused { token });
+    }
+
+    /// Whether the process runs and handles what arrives now.
+    pub fn receives_events(&self, process: usize) -> bool {
+        self.is_up(process) && !self.processes[process].is_paused
+    }
+
     pub fn set_disk(&mut self, process: usize, fails: bool, stalls: bool) {
         self.processes[process].disk_fails = fails;
         self.processes[process].disk_stalls = stalls;
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -17,6 +17,7 @@
 mod order;
 mod planner;
 mod settings;
+mod stale_tokens;
 pub mod target;
 mod tuning;
 
--- a/crates/stages/src/order.rs
+++ b/crates/stages/src/order.rs
@@ -21,6 +21,8 @@
     Accepted,
     /// No response, or one that says neither: the server may have accepted the order.
     Unknown,
-    /// The server rejected the order (4xx), or it was never sent.
+    /// The server rejected the order (4xx but 412), or it was never sent.
     Rejected,
+    /// The server rejected the order (412) since it has seen a higher fencing token.
+    StaleToken,
 }
--- a/crates/stages/src/planner.rs
+++ b/crates/stages/src/planner.rs
@@ -4,6 +4,7 @@
 use crate::load::DecayingPeak;
 use crate::order::{Order, OrderOutcome};
 use crate::settings::PlannerSettings;
+use crate::stale_tokens::StaleTokens;
 use crate::target::{Demand, decode_targets};
 use lugwharf_protocol::{ServerEntry, ServerState, Stage};
 use std::cmp::Ordering;
@@ -45,6 +46,8 @@
     cooldown_until: BTreeMap<String, Duration>,
     /// The load by service.
     loads: BTreeMap<String, DecayingPeak>,
+    /// Which servers rejected the fencing tokens of this process; kept from lease to lease.
+    stale_tokens: StaleTokens,
 }
 
 impl Planner {
@@ -56,6 +59,7 @@
             changes: BTreeMap::new(),
             cooldown_until: BTreeMap::new(),
             loads: BTreeMap::new(),
+            stale_tokens: StaleTokens::default(),
         }
     }
 
@@ -120,11 +124,22 @@
         let settled_at = now + switch_time + settings.list_lag;
         change.state = match outcome {
             OrderOutcome::Accepted | OrderOutcome::Unknown => ChangeState::Settling { until: settled_at },
-            OrderOutcome::Rejected => ChangeState::CoolingDown { until: now + settings.failure_cooldown },
+            OrderOutcome::Rejected | OrderOutcome::StaleToken => {
+                ChangeState::CoolingDown { until: now + settings.failure_cooldown }
+            }
         };
         self.cooldown_until.insert(change.service.clone(), settled_at + settings.change_cooldown);
     }
 
+    /// Records that a server rejected an order under `token`, since it has seen a higher one. Returns whether this
+    /// suspends the server: it gets no more orders from this process for [`PlannerSettings::stale_token_suspension`].
+    ///
+    /// A lease holder that is rejected gives up the lease, so a server that remembers a token that no holder ever had would
+    /// end lease after lease. The second rejection, under a token that a majority has granted since the first, suspends it.
+    pub fn record_stale_token(&mut self, now: Duration, id: &str, token: u64) -> bool {
+        self.stale_tokens.record(now, id, token, self.settings.stale_token_suspension)
+    }
+
     /// Shows the servers that change as draining in a list that is about to be published.
     pub fn overlay(&self, list: &mut [ServerEntry]) {
         for entry in list {
@@ -173,6 +188,7 @@
         let Reassignment { from, to, max_count } = reassignment;
         let candidates = servers.iter().filter(|server| server.stage == Some(from));
         let candidates = candidates.filter(|server| !self.changes.contains_key(&server.id));
+        let candidates = candidates.filter(|server| !self.stale_tokens.is_suspended(now, &server.id));
         let chosen: Vec<&&ServerEntry> = candidates.take(max_count).collect();
         for server in chosen {
             let state = ChangeState::Announced { due_at: now + self.settings.announcement_delay };
--- a/crates/stages/src/settings.rs
+++ b/crates/stages/src/settings.rs
@@ -16,6 +16,8 @@
     pub change_cooldown: Duration,
     /// How long a server that rejected an order gets no other one; default 5 s.
     pub failure_cooldown: Duration,
+    /// How long a server gets no orders that rejected the tokens of two leases of this process; default 10 minutes.
+    pub stale_token_suspension: Duration,
     /// The time constant of the exponential decay of the load that is planned for; default 20 s.
     pub load_decay_time: Duration,
 }
@@ -28,6 +30,7 @@
             list_lag: Duration::from_millis(2_000),
             change_cooldown: Duration::from_secs(3),
             failure_cooldown: Duration::from_secs(5),
+            stale_token_suspension: Duration::from_secs(600),
             load_decay_time: Duration::from_secs(20),
         }
     }
