Count faults of agents that host control in the soak's checker, at their own process alone

Cause: where front-end nodes host control, agent_kill, agent_silent and five more kinds hit a control process, and the checker took them for faults of an agent, so that a read at that very process was reported (not_read).

Change: a read is excused at the process that the fault is on; writes and reads elsewhere are not, unless a majority of the replicas has a fault.

--- a/crates/soak/src/checker/configurations.rs
+++ b/crates/soak/src/checker/configurations.rs
@@ -1,6 +1,6 @@
 //! Checks of configurations: writes are linearizable on their base versions, and reads are never stale.
 
-use super::excuses::is_control_calm;
+use super::excuses::{is_control_calm, is_operator_address_calm};
 use super::records::RunRecords;
 use crate::configuration::version_of;
 use crate::finding::Finding;
@@ -97,8 +97,9 @@
 fn check_availability(
     records: &RunRecords<'_>, writes: &[ConfigWrite], reads: &[ConfigRead], found: &mut Vec<Finding>,
 ) {
-    let is_calm = |from, until| is_control_calm(records.schedule, from, until);
-    for write in writes.iter().filter(|write| is_calm(write.started_at, write.ended_at)) {
+    let calm_writes =
+        writes.iter().filter(|write| is_control_calm(records, write.started_at, write.ended_at));
+    for write in calm_writes {
         let took = write.ended_at - write.started_at;
         if matches!(write.outcome, CallOutcome::Unknown) || took > ACK_TIMEOUT {
             let (version, took, status) = (write.version, took.as_millis(), write.outcome.status());
@@ -106,7 +107,11 @@
             found.push(Finding { rule: "not_acknowledged", facts });
         }
     }
-    for read in reads.iter().filter(|read| is_calm(read.started_at, read.ended_at)) {
+    // A write is sent to one process after the other, a read to one alone.
+    let calm_reads = reads
+        .iter()
+        .filter(|read| is_operator_address_calm(records, read.from, read.started_at, read.ended_at));
+    for read in calm_reads {
         if read.bytes.is_none() {
             let facts = format!("no answer at {} from {} ms on", read.from, read.started_at.as_millis());
             found.push(Finding { rule: "not_read", facts });
--- a/crates/soak/src/checker/excuses.rs
+++ b/crates/soak/src/checker/excuses.rs
@@ -3,11 +3,13 @@
 //! A fault explains failures at what it hits, from a margin before it to a margin after it. The margins cover what the fleet
 //! may need to notice and to recover.
 
-use super::records::RunRecords;
+use super::records::{HostedControl, RunRecords};
 use crate::fault::{FaultKind, ScheduledFault};
 use crate::schedule::Schedule;
 use crate::traffic::Attempt;
 use lugwharf_emulator::client::AttemptEnd;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// A fault of a front-end node explains failures this long before and after it.
@@ -66,8 +68,44 @@
     })
 }
 
-/// Whether no fault of control is active, or has just been, between two times.
-pub fn is_control_calm(schedule: &Schedule, from: Duration, until: Duration) -> bool {
-    let mut faults = schedule.faults.iter().filter(|fault| fault.kind.disrupts_control());
-    !faults.any(|fault| fault.start < until && fault.end() + CONTROL_MARGIN > from)
+/// Whether no fault of control is active, or has just been, between two times, and a majority of the replicas that front-end
+/// nodes host has no fault of its own.
+pub fn is_control_calm(records: &RunRecords<'_>, from: Duration, until: Duration) -> bool {
+    let hosted = records.hosted_control;
+    let fronts: BTreeSet<usize> =
+        agent_faults(records, from, until).map(|fault| fault.target % hosted.addresses.len()).collect();
+    let replicas_hit = fronts.into_iter().filter(|front| *front < hosted.replica_count).count();
+    let is_disrupted = control_faults(records, from, until).any(|fault| fault.kind.disrupts_control());
+    replicas_hit <= hosted.fault_tolerance() && !is_disrupted
+}
+
+/// Whether control is calm between two times, and so is the process that serves operators at an address.
+pub fn is_operator_address_calm(
+    records: &RunRecords<'_>, address: SocketAddr, from: Duration, until: Duration,
+) -> bool {
+    let HostedControl { addresses, replica_count } = records.hosted_control;
+    let is_hit = agent_faults(records, from, until).any(|fault| {
+        let is_at_front = addresses[fault.target % addresses.len()] == address;
+        // The other end of the link is a replica.
+        let is_at_peer =
+            fault.kind == FaultKind::AgentSilent && addresses[fault.target % replica_count] == address;
+        is_at_front || is_at_peer
+    });
+    is_control_calm(records, from, until) && !is_hit
+}
+
+/// The faults between two times of agents that serve operators; none where there are machines for control.
+fn agent_faults<'a>(
+    records: &'a RunRecords<'_>, from: Duration, until: Duration,
+) -> impl Iterator<Item = &'a ScheduledFault> {
+    let serve_operators = !records.hosted_control.addresses.is_empty();
+    control_faults(records, from, until).filter(move |fault| serve_operators && fault.kind.disrupts_agents())
+}
+
+/// The faults that control may notice between two times.
+fn control_faults<'a>(
+    records: &'a RunRecords<'_>, from: Duration, until: Duration,
+) -> impl Iterator<Item = &'a ScheduledFault> {
+    let faults = records.schedule.faults.iter();
+    faults.filter(move |fault| fault.start < until && fault.end() + CONTROL_MARGIN > from)
 }
--- a/crates/soak/src/checker/mod.rs
+++ b/crates/soak/src/checker/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::finding::Finding;
 
-pub use records::{DrainedServer, RunRecords};
+pub use records::{DrainedServer, HostedControl, RunRecords};
 
 /// All violations that the records show.
 pub fn check(records: &RunRecords<'_>) -> Vec<Finding> {
--- a/crates/soak/src/checker_tests.rs
+++ b/crates/soak/src/checker_tests.rs
@@ -1,6 +1,6 @@
 //! The findings of the checker on records made by hand, rule by rule.
 
-use crate::checker::{DrainedServer, RunRecords, check};
+use crate::checker::{DrainedServer, HostedControl, RunRecords, check};
 use crate::finding::Finding;
 use crate::operator_log::{ConfigRead, ConfigWrite, OperatorLog};
 use crate::schedule::Schedule;
@@ -27,6 +27,7 @@
     proxy_logs: Vec<String>,
     omitted_log_lines: Vec<u64>,
     drained_servers: Vec<DrainedServer>,
+    hosted_control: HostedControl,
 }
 
 impl Scene {
@@ -40,6 +41,7 @@
             proxy_logs: vec![String::new(); 2],
             omitted_log_lines: vec![0; 2],
             drained_servers: Vec::new(),
+            hosted_control: HostedControl::default(),
         }
     }
 
@@ -53,6 +55,7 @@
             omitted_log_lines: &self.omitted_log_lines,
             drained_servers: &self.drained_servers,
             front_count: 2,
+            hosted_control: &self.hosted_control,
             recovered_at: ms(50_000),
         });
         findings.into_iter().map(|Finding { rule, facts }| (rule, facts)).collect()
@@ -278,7 +281,6 @@
 #[case::control_killed_long_ago("control_kill 1000 2000 0 0", &["not_acknowledged", "not_acknowledged", "not_read"])]
 #[case::control_killed_before("control_kill 1000 2001 0 0", &[])]
 #[case::servers_blackholed("server_dark 9000 2000 0 0", &["not_acknowledged", "not_acknowledged", "not_read"])]
-// An agent may host control, which the checker does not know: a known defect (issue 27, point 6).
 #[case::agent_killed("agent_kill 9000 2000 0 0", &["not_acknowledged", "not_acknowledged", "not_read"])]
 #[case::agent_silent("agent_silent 9000 2000 0 0", &["not_acknowledged", "not_acknowledged", "not_read"])]
 fn without_control_faults_unanswered_writes_and_reads_are_reported(
@@ -324,3 +326,41 @@
         expected.iter().map(|facts| ("configuration", (*facts).to_owned())).collect();
     assert_eq!(scene.findings(), expected);
 }
+
+/// Where the agent of a front-end node serves operators; three of four host a replica.
+fn operator_address(front: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 10 + front], 80))
+}
+
+/// A fault of an agent excuses reads at that agent alone, and no write: those go on to the next process.
+#[rstest]
+#[case::killed("agent_kill 9000 2000 1 0", &["not_acknowledged", "not_read 0", "not_read 2", "not_read 3"])]
+#[case::terminated("front_term 9000 2000 5 0", &["not_acknowledged", "not_read 0", "not_read 2", "not_read 3"])]
+#[case::paused("front_freeze 9000 2000 1 0", &["not_acknowledged", "not_read 0", "not_read 2", "not_read 3"])]
+#[case::deaf("agent_deaf 9000 2000 1 0", &["not_acknowledged", "not_read 0", "not_read 2", "not_read 3"])]
+#[case::reset("agent_reset 9000 2000 1 0", &["not_acknowledged", "not_read 0", "not_read 2", "not_read 3"])]
+#[case::out_of_descriptors("agent_descriptors 9000 2000 1 0", &["not_acknowledged", "not_read 0", "not_read 2", "not_read 3"])]
+#[case::link_to_a_replica("agent_silent 9000 2000 6 0", &["not_acknowledged", "not_read 1", "not_read 3"])]
+#[case::one_that_forwards("agent_kill 9000 2000 3 0", &["not_acknowledged", "not_read 0", "not_read 1", "not_read 2"])]
+#[case::killed_long_ago("agent_kill 1000 2000 1 0", &["not_acknowledged", "not_read 0", "not_read 1", "not_read 2", "not_read 3"])]
+#[case::proxy_alone("proxy_kill 9000 2000 1 0", &["not_acknowledged", "not_read 0", "not_read 1", "not_read 2", "not_read 3"])]
+#[case::replica_and_one_that_forwards("agent_kill 9000 2000 1 0\nagent_kill 9000 2000 3 0", &["not_acknowledged", "not_read 0", "not_read 2"])]
+#[case::majority("agent_kill 9000 2000 1 0\nagent_deaf 9000 2000 2 0", &[])]
+#[case::control("control_kill 9000 2000 0 0", &[])]
+fn a_fault_of_an_agent_that_hosts_control_excuses_its_own_reads(
+    #[case] schedule: &str, #[case] expected: &[&str],
+) {
+    let mut scene = Scene::new(schedule);
+    let addresses: Vec<SocketAddr> = (0..4).map(operator_address).collect();
+    scene.hosted_control = HostedControl { addresses: addresses.clone(), replica_count: 3 };
+    scene.operator_log.record_write(put(2, 1, 10_000, CallOutcome::Unknown));
+    for from in &addresses {
+        scene.operator_log.record_read(ConfigRead { from: *from, bytes: None, ..read(1, 10_000) });
+    }
+    let place = |facts: &str| addresses.iter().position(|address| facts.contains(&address.to_string()));
+    let findings = scene.findings().into_iter();
+    let found: Vec<String> = findings
+        .map(|(rule, facts)| place(&facts).map_or(rule.to_owned(), |front| format!("{rule} {front}")))
+        .collect();
+    assert_eq!(found, expected);
+}
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -150,11 +150,22 @@
         )
     }
 
-    /// Whether control processes or the links between them fail.
-    ///
-    /// Known defect (issue 27, point 6): where front-end nodes host control (`Scenario::without_core`), `AgentKill` and
-    /// `AgentSilent` hit a control process and are not counted here. The checker then reports findings (`not_read`,
-    /// `not_acknowledged`) that the fault explains.
+    /// Whether the agent of a front-end node fails, or its links to control. Where agents host control, this hits the control
+    /// process of that node.
+    pub fn disrupts_agents(self) -> bool {
+        matches!(
+            self,
+            FaultKind::AgentSilent
+                | FaultKind::AgentDeaf
+                | FaultKind::AgentReset
+                | FaultKind::AgentKill
+                | FaultKind::AgentDescriptors
+                | FaultKind::FrontTerm
+                | FaultKind::FrontFreeze
+        )
+    }
+
+    /// Whether control processes or the links between them fail, whichever machines they run on.
     pub fn disrupts_control(self) -> bool {
         matches!(
             self,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -3,6 +3,7 @@
 //! Faults overlap, so that two of them may stop or pause the same process. The fleet counts the faults that stop and that
 //! pause each process; it runs again once both counts are zero.
 
+use crate::checker::HostedControl;
 use crate::configuration::configuration;
 use crate::link_proxy::{LinkProxy, LinkTable};
 use crate::process_id::ProcessId;
@@ -124,6 +125,18 @@
         if self.cluster.hosts_control(front) { ProcessId::Control(front) } else { ProcessId::Agent(front) }
     }
 
+    /// What the agents serve operators, where they host control.
+    pub fn hosted_control(&self) -> HostedControl {
+        let replicas: Vec<usize> =
+            (0..self.front_count).filter(|front| self.cluster.hosts_control(*front)).collect();
+        if replicas.is_empty() {
+            return HostedControl::default();
+        }
+        let replica_addresses = replicas.iter().map(|front| self.cluster.control_address(*front));
+        let addresses = replica_addresses.chain(self.cluster.gateway_addresses()).collect();
+        HostedControl { addresses, replica_count: replicas.len() }
+    }
+
     /// All processes in use: control, then proxies, then agents.
     pub fn processes(&self) -> Vec<ProcessId> {
         let control = self.control_nodes.iter().map(|index| ProcessId::Control(*index));
--- a/crates/soak/src/harness.rs
+++ b/crates/soak/src/harness.rs
@@ -121,6 +121,7 @@
         omitted_log_lines: &omitted_log_lines,
         drained_servers: &played.drained_servers,
         front_count: fleet.front_count,
+        hosted_control: &fleet.hosted_control(),
         recovered_at,
     }));
     let logs = fleet.cluster.logs();
