Announce the close of a connection that was evicted while a request arrived

Cause: an eviction was a stored wake-up.

Change: the slot remembers that it is to close; the response announces it.

--- a/crates/proxy/src/inbound/connection.rs
+++ b/crates/proxy/src/inbound/connection.rs
@@ -66,6 +66,9 @@
         return Err(ReadEnd::Disconnected);
     }
     let mut writer = ResponseWriter::new(write, state, &request.head, &trace);
+    if slot.is_closing() {
+        writer.announce_close();
+    }
     tokio::select! {
         biased;
         end = service::serve(state, &request, &mut writer, &trace) => {
--- a/crates/proxy/src/inbound/connections.rs
+++ b/crates/proxy/src/inbound/connections.rs
@@ -20,8 +20,27 @@
 pub struct ConnectionSlot {
     /// Since when no request is in progress on it; `None` while one is.
     pub idle_since: Cell<Option<Instant>>,
-    /// Notified when it is to close as soon as no request is in progress.
-    pub close: Notify,
+    /// Whether it is to close. A request that crosses this is served first, and its response announces the close.
+    is_closing: Cell<bool>,
+    close_requested: Notify,
+}
+
+impl ConnectionSlot {
+    /// Asks the connection to close as soon as no request is in progress on it.
+    pub fn request_close(&self) {
+        self.is_closing.set(true);
+        self.close_requested.notify_one();
+    }
+
+    /// Whether the connection was asked to close.
+    pub fn is_closing(&self) -> bool {
+        self.is_closing.get()
+    }
+
+    /// Waits until the connection is asked to close.
+    pub async fn wait_for_close_request(&self) {
+        self.close_requested.notified().await;
+    }
 }
 
 /// All open connections of clients.
@@ -54,7 +73,7 @@
         let is_idle = |slot: &&Rc<ConnectionSlot>| {
             slot.idle_since.get().is_some_and(|since| since.elapsed() >= min_idle)
         };
-        slots.values().filter(is_idle).for_each(|slot| slot.close.notify_one());
+        slots.values().filter(is_idle).for_each(|slot| slot.request_close());
     }
 
     /// Waits until a connection closes.
@@ -92,7 +111,7 @@
         idlest.inspect(|(_, slot)| {
             // Not to be evicted twice.
             slot.idle_since.set(None);
-            slot.close.notify_one();
+            slot.request_close();
         });
         idlest.is_some()
     }
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod connection;
 pub mod connections;
+#[cfg(test)]
+mod connections_tests;
 pub mod error_response;
 pub mod listener;
 pub mod request;
--- a/crates/proxy/src/inbound/request_reader.rs
+++ b/crates/proxy/src/inbound/request_reader.rs
@@ -101,7 +101,7 @@
         tokio::select! {
             biased;
             ready = self.read.readable() => ready.map_err(|_| ReadEnd::Disconnected),
-            () = slot.close.notified() => self.close_if_quiet(),
+            () = slot.wait_for_close_request() => self.close_if_quiet(),
             () = sleep_until(deadline) => self.close_if_quiet(),
         }
     }
--- a/crates/proxy/src/inbound/response_writer.rs
+++ b/crates/proxy/src/inbound/response_writer.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Has the response announce that the connection closes behind it.
+    pub fn announce_close(&mut self) {
+        self.wants_close = true;
+    }
+
     /// Records that a head is written, and checks that it is the only one.
     fn record_head(&mut self, status: u16) {
         if let Some(trace) = self.trace {
@@ -101,7 +106,8 @@
         String::from_utf8_lossy(self.request_id.unwrap_or(b"-")).into_owned()
     }
 
-    /// Whether the connection closes behind the response: as the client wants, or since the process is draining.
+    /// Whether the connection closes behind the response: as the client wants, since it was asked to close, or since the process
+    /// is draining.
     fn closes(&self) -> bool {
         self.wants_close || self.state.is_draining()
     }
--- a/crates/proxy/src/stack/kv_handle_tests.rs
+++ b/crates/proxy/src/stack/kv_handle_tests.rs
@@ -1,7 +1,9 @@
-//! The call that frees a KV handle, byte for byte.
+//! The call that frees a KV handle, byte for byte, and which response is taken for its own.
 
-use super::request;
-use crate::outbound::fixtures::{selection, state};
+use super::{free, request};
+use crate::outbound::fixtures::{selection, server_and_state, state};
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 #[test]
 fn request_that_frees_a_kv_handle() {
@@ -11,3 +13,30 @@
     let expected = "DELETE /kv-handle/k-1 HTTP/1.1\r\nHost: 127.0.0.1:9\r\nExpect-Instance: i-a\r\n\r\n";
     assert_eq!(String::from_utf8(request(&server, "k-1")).expect("text"), expected);
 }
+
+/// The call has no id, so a response that carries one is a late copy of another request's.
+#[rstest]
+#[case::stray_success_before_a_failure("200 OK", "404 Not Found", Some(false))]
+#[case::stray_failure_before_a_success("503 Unavailable", "200 OK", Some(true))]
+#[tokio::test]
+async fn response_to_another_request_is_not_taken_for_that_to_the_delete(
+    #[case] stray: &str, #[case] own: &str, #[case] expected: Option<bool>,
+) {
+    let (state, listener) = server_and_state().await;
+    let server = selection(&state, listener.local_addr().expect("an address"));
+    let responses = format!(
+        "HTTP/1.1 {stray}\r\nRequest-Id: r0\r\nContent-Length: 2\r\n\r\nok\
+         HTTP/1.1 {own}\r\nContent-Length: 0\r\n\r\n"
+    );
+    let answer = async {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut received = Vec::new();
+        while !received.ends_with(b"\r\n\r\n") {
+            assert!(stream.read_buf(&mut received).await.expect("bytes") > 0, "it ends early");
+        }
+        stream.write_all(responses.as_bytes()).await.expect("a write");
+        stream
+    };
+    let (freed, _stream) = tokio::join!(free(&state, &server, "k-1"), answer);
+    assert_eq!(freed, expected);
+}
