Ask the servers for the stage changes that an earlier lease holder ordered

Cause: changes in progress were known to their holder alone. A successor planned by the platform's list, which shows a change at its end, and ordered servers that were changing; so did a holder whose server drained for long.

Change: each server is asked for its report once under each lease, a second after it was acquired; Busy and Stage restore the change, Seq goes with the first order (IfRevision). A change that the list should show and does not is confirmed by a report, or given up after 3 s. Calls under the lease share leased_call.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -10,7 +10,7 @@
 use lugwharf_chain::Blake3;
 use lugwharf_protocol::{AgentRequest, ServerEntry};
 use lugwharf_settings::Settings;
-use lugwharf_stages::OrderOutcome;
+use lugwharf_stages::{OrderOutcome, StageReport};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
@@ -96,6 +96,15 @@
         /// How it ended.
         outcome: OrderOutcome,
     },
+    /// A model server has reported its stage.
+    ServerReported {
+        /// The server's id.
+        id: String,
+        /// The fencing token under which it was asked.
+        token: u64,
+        /// The report.
+        report: StageReport,
+    },
     /// Asks what to announce to seeds.
     GetAnnouncement {
         /// Takes the announcement.
--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -176,6 +176,7 @@
                 self.list_read_failed(epoch, should_step_down);
             }
             Command::OrderCompleted { id, token, outcome } => self.order_completed(&id, token, outcome),
+            Command::ServerReported { id, token, report } => self.server_reported(&id, token, report),
             Command::GetAnnouncement { reply } => send_reply(reply, self.announcement()),
             Command::PeersAnnounced { addresses } => self.learn_announced_processes(&addresses),
             Command::Reload { settings } => self.reload(*settings),
--- a/crates/control/src/controller/server_list.rs
+++ b/crates/control/src/controller/server_list.rs
@@ -39,6 +39,7 @@
         self.metrics.list_reads.inc();
         self.platform_reachability.record_success();
         let now = self.now();
+        self.stage_planning.request_reports(now, &entries, epoch);
         self.stage_planning.plan(now, &mut entries, &self.fleet_load);
         let before = self.tables.vector();
         match self.tables.servers_mut().replace(epoch, entries) {
--- a/crates/control/src/controller/stage_planning.rs
+++ b/crates/control/src/controller/stage_planning.rs
@@ -5,11 +5,12 @@
 use super::list_watcher_role::ROLE_NAME;
 use crate::metrics::order_outcome_name;
 use crate::orders::AuthorizedOrder;
+use crate::server_reports::ReportRequest;
 use lugwharf_config::Configuration;
 use lugwharf_election::{self as election, FencingToken};
 use lugwharf_protocol::{ServerEntry, ServerState};
 use lugwharf_stages::target::Demand;
-use lugwharf_stages::{Order, OrderOutcome, Planner, PlannerSettings, StageTuning};
+use lugwharf_stages::{Order, OrderOutcome, Planner, PlannerSettings, StageReport, StageTuning};
 use spdlog::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -45,13 +46,18 @@
     /// The engines of the newest configuration, by service.
     engines: BTreeMap<String, EngineProfile>,
     order_queue: mpsc::Sender<AuthorizedOrder>,
+    report_queue: mpsc::Sender<ReportRequest>,
 }
 
 impl StagePlanning {
-    /// Planning without a configuration; orders go to `order_queue`.
-    pub fn new(tuning: StageTuning, order_queue: mpsc::Sender<AuthorizedOrder>) -> StagePlanning {
+    /// Planning without a configuration; orders go to `order_queue`, and servers that are to be asked for their reports to
+    /// `report_queue`.
+    pub fn new(
+        tuning: StageTuning, order_queue: mpsc::Sender<AuthorizedOrder>,
+        report_queue: mpsc::Sender<ReportRequest>,
+    ) -> StagePlanning {
         let planner = Planner::new(PlannerSettings::default());
-        StagePlanning { planner, tuning, engines: BTreeMap::new(), order_queue }
+        StagePlanning { planner, tuning, engines: BTreeMap::new(), order_queue, report_queue }
     }
 
     /// Takes the engines from a committed configuration.
@@ -69,6 +75,26 @@
         self.planner.lease_lost();
     }
 
+    /// Has servers of a list asked for their reports, under the lease with this fencing token.
+    pub fn request_reports(&mut self, now: Duration, entries: &[ServerEntry], token: u64) {
+        if !self.tuning.orders {
+            return;
+        }
+        for entry in self.planner.servers_to_ask(now, entries) {
+            let request = ReportRequest { id: entry.id.clone(), address: entry.address, token };
+            if let Err(error) = self.report_queue.try_send(request) {
+                warn!("report", kv: { outcome = "dropped", error: = error });
+                return;
+            }
+        }
+    }
+
+    /// Records the report of a server that is listed as `entry`.
+    pub fn record_report(&mut self, now: Duration, entry: &ServerEntry, report: StageReport) {
+        let switch = self.switch_time(Some(&entry.service));
+        self.planner.record_report(now, entry, report, switch);
+    }
+
     /// Plans by a list that was just read, then marks the servers that are about to change their stage as draining in it.
     pub fn plan(&mut self, now: Duration, entries: &mut [ServerEntry], load: &FleetLoad) {
         self.planner.observe(entries);
@@ -116,11 +142,16 @@
 
     /// Records how the order to a server of this service ended. An unknown server has [`DEFAULT_SWITCH`].
     pub fn complete(&mut self, now: Duration, id: &str, service: Option<&str>, outcome: OrderOutcome) {
-        let engine = service.and_then(|service| self.engines.get(service));
-        let switch = engine.map_or(DEFAULT_SWITCH, |engine| engine.switch);
+        let switch = self.switch_time(service);
         self.planner.record_outcome(now, id, outcome, switch);
     }
 
+    /// How long the servers of a service take to change their stage.
+    fn switch_time(&self, service: Option<&str>) -> Duration {
+        let engine = service.and_then(|service| self.engines.get(service));
+        engine.map_or(DEFAULT_SWITCH, |engine| engine.switch)
+    }
+
     /// Records that a server rejected a fencing token of this process; returns whether it gets no more orders for a while.
     pub fn record_stale_token(&mut self, now: Duration, id: &str, token: u64) -> bool {
         self.planner.record_stale_token(now, id, token)
@@ -158,6 +189,18 @@
         }
     }
 
+    /// A server has reported its stage, to the holder of the lease with this fencing token.
+    pub(super) fn server_reported(&mut self, id: &str, token: u64, report: StageReport) {
+        let now = self.now();
+        if !self.holds_lease(token) {
+            return;
+        }
+        debug!("report", kv: { outcome = "received", id, stage:? = report.stage, busy = report.is_busy, revision = report.revision });
+        if let Some(entry) = self.tables.servers().get(id) {
+            self.stage_planning.record_report(now, entry, report);
+        }
+    }
+
     /// A server has seen a higher fencing token than this one: nothing more is done under it, also no read of the list.
     fn token_refused(&mut self, now: Duration, id: &str, token: u64) {
         if self.stage_planning.record_stale_token(now, id, token) {
--- a/crates/control/src/controller/startup.rs
+++ b/crates/control/src/controller/startup.rs
@@ -21,6 +21,7 @@
 use crate::peer_transport::PeerTransport;
 use crate::pulls::PendingPulls;
 use crate::record_owner::RecordOwner;
+use crate::server_reports;
 use crate::storage::{self, OpenedLog};
 use eyre::{Result, WrapErr, eyre};
 use lugwharf_chain::{self as chain, Replica};
@@ -41,6 +42,9 @@
 /// Orders that may wait to be sent.
 const ORDER_QUEUE_LENGTH: usize = 256;
 
+/// Servers that may wait to be asked for their reports; those beyond are planned as they are listed.
+const REPORT_QUEUE_LENGTH: usize = 4_096;
+
 /// Replica and elector as recovered from the log, with the first actions of the replica.
 struct Recovered {
     replica: Replica,
@@ -83,12 +87,14 @@
     let (list_watcher_role, lease) = ListWatcherRole::new();
     let (order_queue, orders) = mpsc::channel(ORDER_QUEUE_LENGTH);
     let lease = LeaseWatch::new(lease);
+    let (report_queue, report_requests) = mpsc::channel(REPORT_QUEUE_LENGTH);
     tokio::spawn(orders::run(orders, lease.clone(), commands.clone()));
+    tokio::spawn(server_reports::run(report_requests, lease.clone(), commands.clone()));
     if let Some(cloud) = settings.cloud.clone() {
         tokio::spawn(list_watcher::initial_read(cloud.clone(), commands.clone()));
         tokio::spawn(list_watcher::run(cloud, lease, commands.clone()));
     }
-    (list_watcher_role, StagePlanning::new(stage_tuning, order_queue))
+    (list_watcher_role, StagePlanning::new(stage_tuning, order_queue, report_queue))
 }
 
 impl Controller {
--- /dev/null
+++ b/crates/control/src/leased_call.rs
@@ -0,0 +1,103 @@
+//! One HTTP call to a model server under the lease of the list watcher, on a connection of its own.
+//!
+//! Nothing is sent once the lease has ended or was given up; a call in flight is aborted then, and its connection reset, so that
+//! it can't arrive after another process acquired the lease.
+
+use crate::lease::LeaseWatch;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::handshake;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use lugwharf_invariants::{Invariant, check};
+use socket2::SockRef;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// The largest body that is read.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
+/// Why a call has no response. The text is logged as `error`.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// The lease ended before the call was sent, as after a pause of this process or a rejection of its token.
+    #[error("the lease has ended")]
+    LeaseEnded,
+    /// The lease ended while the call was in flight.
+    #[error("the lease has ended meanwhile")]
+    LeaseEndedInFlight,
+    /// The request could not be built, as for an id that is no header value.
+    #[error(transparent)]
+    Request(#[from] hyper::http::Error),
+    /// A body could not be encoded or decoded.
+    #[error(transparent)]
+    Body(#[from] serde_json::Error),
+    /// The body of the response was incomplete or too long.
+    #[error("the body can't be read: {0}")]
+    IncompleteBody(String),
+    /// The connection failed.
+    #[error(transparent)]
+    Connection(#[from] std::io::Error),
+    /// The HTTP exchange failed.
+    #[error(transparent)]
+    Http(#[from] hyper::Error),
+}
+
+/// A response whose head has arrived. Dropping it resets the connection.
+pub struct CallResponse {
+    response: Response<Incoming>,
+    _connection: ConnectionTask,
+}
+
+impl CallResponse {
+    /// The status.
+    pub fn status(&self) -> StatusCode {
+        self.response.status()
+    }
+
+    /// Reads the body.
+    ///
+    /// # Errors
+    /// [`CallError::IncompleteBody`].
+    pub async fn body(self) -> Result<Bytes, CallError> {
+        let body = Limited::new(self.response.into_body(), MAX_BODY_BYTES).collect().await;
+        body.map(|body| body.to_bytes()).map_err(|error| CallError::IncompleteBody(error.to_string()))
+    }
+}
+
+/// Drives a connection until it is dropped.
+struct ConnectionTask(JoinHandle<()>);
+
+impl Drop for ConnectionTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Sends a request to `address` under the lease with this token, and waits for the head of the response.
+///
+/// # Errors
+/// The lease is over, or the call failed.
+pub async fn call(
+    address: SocketAddr, request: Request<Full<Bytes>>, lease: &LeaseWatch, token: u64,
+) -> Result<CallResponse, CallError> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+    let (mut sender, connection) = handshake(TokioIo::new(stream)).await?;
+    if !lease.holds(token) {
+        return Err(CallError::LeaseEnded);
+    }
+    check(Invariant::OrderUnderLease, lease.holds(token), || format!("token {token}"));
+    let exchange = sender.send_request(request);
+    // An error of the connection ends the exchange with it.
+    let connection = ConnectionTask(tokio::spawn(async move { drop(connection.await) }));
+    tokio::select! {
+        biased;
+        response = exchange => Ok(CallResponse { response: response?, _connection: connection }),
+        () = lease.clone().lost(token) => Err(CallError::LeaseEndedInFlight),
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -30,6 +30,7 @@
 #[cfg(test)]
 mod http_bytes_tests;
 mod lease;
+mod leased_call;
 mod list_watcher;
 #[cfg(test)]
 mod list_watcher_tests;
@@ -52,6 +53,7 @@
 mod pulls;
 mod record_owner;
 mod reply;
+mod server_reports;
 mod shutdown;
 mod status;
 #[cfg(test)]
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -6,20 +6,16 @@
 
 use crate::command::{Command, notify};
 use crate::lease::LeaseWatch;
+use crate::leased_call::{self, CallError};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::handshake;
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
-use lugwharf_invariants::{Invariant, check};
 use lugwharf_protocol::Stage;
 use lugwharf_stages::{Order, OrderOutcome};
 use serde::Serialize;
-use socket2::SockRef;
 use spdlog::prelude::*;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -42,29 +38,6 @@
     pub token: u64,
 }
 
-/// Why an order has no response. The text is logged as `error` of `order outcome=failed`.
-#[derive(Debug, thiserror::Error)]
-enum OrderError {
-    /// The lease ended before the order was sent, as after a pause of this process or a rejection of its token.
-    #[error("the lease has ended")]
-    LeaseEnded,
-    /// The lease ended while the order was in flight.
-    #[error("the lease has ended meanwhile")]
-    LeaseEndedInFlight,
-    /// The request could not be built, as for an id that is no header value.
-    #[error(transparent)]
-    Request(#[from] hyper::http::Error),
-    /// The body could not be encoded.
-    #[error(transparent)]
-    Body(#[from] serde_json::Error),
-    /// The connection failed.
-    #[error(transparent)]
-    Connection(#[from] std::io::Error),
-    /// The HTTP exchange failed.
-    #[error(transparent)]
-    Http(#[from] hyper::Error),
-}
-
 /// The body of `POST /order`. Encoded names are fixed; see docs/GLOSSARY.md.
 #[derive(Serialize)]
 #[serde(rename_all = "PascalCase")]
@@ -73,6 +46,8 @@
     stage: &'static str,
     holder: &'a str,
     fence: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    if_revision: Option<u64>,
 }
 
 /// Sends the queued orders until the queue is closed.
@@ -94,7 +69,7 @@
     let id = authorized.order.id.as_str();
     match timeout(RESPONSE_TIMEOUT, send(authorized, lease)).await {
         Ok(Ok(status)) => classify_response(status),
-        Ok(Err(OrderError::LeaseEnded)) => {
+        Ok(Err(CallError::LeaseEnded)) => {
             warn!("order", kv: { outcome = "withheld", id, token = authorized.token });
             OrderOutcome::Rejected
         }
@@ -115,42 +90,17 @@
     }
 }
 
-async fn send(authorized: &AuthorizedOrder, lease: &LeaseWatch) -> Result<StatusCode, OrderError> {
-    let stage = match authorized.order.stage {
+async fn send(authorized: &AuthorizedOrder, lease: &LeaseWatch) -> Result<StatusCode, CallError> {
+    let AuthorizedOrder { order, holder, token } = authorized;
+    let stage = match order.stage {
         Stage::Prefill => "prefill",
         Stage::Decode => "decode",
     };
-    let body = StageOrder { op: "Stage", stage, holder: &authorized.holder, fence: authorized.token };
+    let body = StageOrder { op: "Stage", stage, holder, fence: *token, if_revision: order.if_revision };
     let request = Request::post("/order")
-        .header(HOST, authorized.order.address.to_string())
+        .header(HOST, order.address.to_string())
         .header(CONTENT_TYPE, "application/json")
-        .header("Expect-Instance", &authorized.order.id)
+        .header("Expect-Instance", &order.id)
         .body(Full::new(Bytes::from(serde_json::to_vec(&body)?)))?;
-    let stream = TcpStream::connect(authorized.order.address).await?;
-    stream.set_nodelay(true)?;
-    SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
-    let (mut sender, connection) = handshake(TokioIo::new(stream)).await?;
-    if !lease.holds(authorized.token) {
-        return Err(OrderError::LeaseEnded);
-    }
-    check(Invariant::OrderUnderLease, lease.holds(authorized.token), || {
-        format!("token {}", authorized.token)
-    });
-    let exchange = sender.send_request(request);
-    tokio::pin!(connection, exchange);
-    // Both end with this function, so that aborting it resets the connection.
-    let answer = async {
-        tokio::select! {
-            response = &mut exchange => Ok(response?.status()),
-            ended = &mut connection => {
-                ended?;
-                Ok(exchange.await?.status())
-            }
-        }
-    };
-    tokio::select! {
-        biased;
-        answer = answer => answer,
-        () = lease.clone().lost(authorized.token) => Err(OrderError::LeaseEndedInFlight),
-    }
+    Ok(leased_call::call(order.address, request, lease, *token).await?.status())
 }
--- /dev/null
+++ b/crates/control/src/server_reports_tests.rs
@@ -0,0 +1,83 @@
+//! A server's report is read under a lease that is held, and what is no report is left out.
+
+use super::{ReportRequest, run};
+use crate::command::Command;
+use crate::lease::{HeldLease, LeaseWatch};
+use lugwharf_protocol::Stage;
+use lugwharf_stages::StageReport;
+use rstest::rstest;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+const TOKEN: u64 = 7;
+
+/// Asks a server that answers with this status and body, under a lease with `held` as its token; returns what it was sent and
+/// the report that was read.
+async fn ask(held: u64, status: &str, body: &str) -> (String, Option<StageReport>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let response = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut received = Vec::new();
+        while !received.ends_with(b"\r\n\r\n") {
+            if stream.read_buf(&mut received).await.unwrap_or(0) == 0 {
+                break;
+            }
+        }
+        // The caller may have gone.
+        let _ = stream.write_all(response.as_bytes()).await;
+        let _ = stream.read_to_end(&mut Vec::new()).await;
+        String::from_utf8(received).expect("text").replace(&address.to_string(), "ADDRESS")
+    });
+    let expires_at = Instant::now() + Duration::from_secs(600);
+    let (_role, lease) = watch::channel(Some(HeldLease { token: held, expires_at }));
+    let (requests, queue) = mpsc::channel(1);
+    let (commands, mut reported) = mpsc::channel(1);
+    let asking = tokio::spawn(run(queue, LeaseWatch::new(lease), commands));
+    let request = ReportRequest { id: "i-1".to_owned(), address, token: TOKEN };
+    requests.send(request).await.expect("a queue");
+    drop(requests);
+    asking.await.expect("the task ends with its queue");
+    let report = match reported.recv().await {
+        Some(Command::ServerReported { id, token: TOKEN, report }) if id == "i-1" => Some(report),
+        Some(_) => panic!("another command"),
+        None => None,
+    };
+    (server.await.expect("a connection"), report)
+}
+
+#[rstest]
+#[case::idle(
+    r#"{"Stage":"decode","Models":[{"Name":"m"}],"Busy":false,"Seq":2,"Queued":1}"#,
+    StageReport { stage: Stage::Decode, is_busy: false, revision: 2 }
+)]
+#[case::changing(
+    r#"{"Stage":"prefill","Busy":true,"Seq":3}"#,
+    StageReport { stage: Stage::Prefill, is_busy: true, revision: 3 }
+)]
+#[tokio::test]
+async fn report_is_read(#[case] body: &str, #[case] expected: StageReport) {
+    let (received, report) = ask(TOKEN, "200 OK", body).await;
+    assert_eq!(received, "GET /report HTTP/1.1\r\nhost: ADDRESS\r\nexpect-instance: i-1\r\n\r\n");
+    assert_eq!(report, Some(expected));
+}
+
+#[rstest]
+#[case::another_incarnation("421 Misdirected Request", "{}")]
+#[case::no_json("200 OK", "none")]
+#[case::no_stage("200 OK", r#"{"Busy":true}"#)]
+#[case::unknown_stage("200 OK", r#"{"Stage":"both"}"#)]
+#[tokio::test]
+async fn what_is_no_report_is_left_out(#[case] status: &str, #[case] body: &str) {
+    assert_eq!(ask(TOKEN, status, body).await.1, None);
+}
+
+#[tokio::test]
+async fn nothing_is_asked_once_the_lease_is_lost() {
+    let (received, report) = ask(TOKEN + 1, "200 OK", r#"{"Stage":"decode"}"#).await;
+    assert_eq!((received.as_str(), report), ("", None));
+}
--- a/crates/stages/src/change.rs
+++ b/crates/stages/src/change.rs
@@ -11,8 +11,11 @@
     Announced { due_at: Duration },
     /// The order was returned to the caller and has no outcome yet.
     Ordered,
-    /// The server may be changing; it is out of service until the list shows its new stage, or until a time.
+    /// The server may be changing; it is out of service until the list shows its new stage, which it should by a time.
     Settling { until: Duration },
+    /// The list should show the new stage by now and does not, as where requests that run keep the server from changing. It
+    /// is out of service until it reports its stage, or until a time.
+    Unconfirmed { until: Duration },
     /// The server rejected the order; it is in service, and gets no other order until a time.
     CoolingDown { until: Duration },
 }
@@ -33,11 +36,16 @@
         !matches!(self.state, ChangeState::CoolingDown { .. })
     }
 
-    /// Whether the change has ended by `now` without the list showing it.
+    /// Whether the change has ended by `now` without a list or a report that shows it.
     pub(crate) fn is_expired(&self, now: Duration) -> bool {
         match self.state {
-            ChangeState::Settling { until } | ChangeState::CoolingDown { until } => now >= until,
-            ChangeState::Announced { .. } | ChangeState::Ordered => false,
+            ChangeState::Unconfirmed { until } | ChangeState::CoolingDown { until } => now >= until,
+            ChangeState::Announced { .. } | ChangeState::Ordered | ChangeState::Settling { .. } => false,
         }
     }
+
+    /// Whether the list should have shown the new stage by `now`.
+    pub(crate) fn is_overdue(&self, now: Duration) -> bool {
+        matches!(self.state, ChangeState::Settling { until } if now >= until)
+    }
 }
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -6,8 +6,11 @@
 //! 1. **Announce**: the server is shown to the proxies as draining ([`Planner::overlay`]), so that no new request is on its
 //!    way to it when it changes.
 //! 2. **Order**: [`Planner::due_orders`] returns the order once the announcement has reached every proxy.
-//! 3. **Settle**: the server stays out of service until it has had the time to change and the list has had the time to show
-//!    the new stage.
+//! 3. **Settle**: the server stays out of service until the list shows its new stage. If that takes longer than it should, the
+//!    server is asked.
+//!
+//! A planner that takes the lease over knows nothing of the changes that the last holder ordered. It asks the servers
+//! themselves ([`Planner::servers_to_ask`], [`Planner::record_report`]) before it plans.
 //!
 //! How many servers of each zone should decode is computed in [`target`].
 #![forbid(unsafe_code)]
@@ -16,6 +19,7 @@
 mod load;
 mod order;
 mod planner;
+mod report;
 mod settings;
 mod stale_tokens;
 pub mod target;
@@ -23,5 +27,6 @@
 
 pub use order::{Order, OrderOutcome};
 pub use planner::Planner;
+pub use report::StageReport;
 pub use settings::PlannerSettings;
 pub use tuning::StageTuning;
--- a/crates/stages/src/order.rs
+++ b/crates/stages/src/order.rs
@@ -12,6 +12,9 @@
     pub address: SocketAddr,
     /// The stage that the server is to have.
     pub stage: Stage,
+    /// The orders that the server has accepted so far, if it has reported them under this lease; it rejects the order if there
+    /// were others since (`IfRevision`).
+    pub if_revision: Option<u64>,
 }
 
 /// The outcome of an order.
--- a/crates/stages/src/planner.rs
+++ b/crates/stages/src/planner.rs
@@ -3,6 +3,7 @@
 use crate::change::{Change, ChangeState};
 use crate::load::DecayingPeak;
 use crate::order::{Order, OrderOutcome};
+use crate::report::{StageReport, opposite};
 use crate::settings::PlannerSettings;
 use crate::stale_tokens::StaleTokens;
 use crate::target::{Demand, decode_targets};
@@ -46,6 +47,10 @@
     cooldown_until: BTreeMap<String, Duration>,
     /// The load by service.
     loads: BTreeMap<String, DecayingPeak>,
+    /// Whether the servers' reports were asked for under this lease.
+    has_requested_reports: bool,
+    /// By server id: the revision that it reported under this lease, until it gets an order.
+    revisions: BTreeMap<String, u64>,
     /// Which servers rejected the fencing tokens of this process; kept from lease to lease.
     stale_tokens: StaleTokens,
 }
@@ -59,6 +64,8 @@
             changes: BTreeMap::new(),
             cooldown_until: BTreeMap::new(),
             loads: BTreeMap::new(),
+            has_requested_reports: false,
+            revisions: BTreeMap::new(),
             stale_tokens: StaleTokens::default(),
         }
     }
@@ -69,6 +76,8 @@
         self.changes.clear();
         self.cooldown_until.clear();
         self.loads.clear();
+        self.has_requested_reports = false;
+        self.revisions.clear();
     }
 
     /// Stops planning: this process has lost the lease, and returns no more orders.
@@ -77,6 +86,49 @@
         self.changes.clear();
     }
 
+    /// The servers of a list that are to be asked for their reports now: all of them, once under each lease, and later those
+    /// whose changes the list should show and does not.
+    pub fn servers_to_ask<'a>(&mut self, now: Duration, list: &'a [ServerEntry]) -> Vec<&'a ServerEntry> {
+        let Some(acquired_at) = self.acquired_at else { return Vec::new() };
+        let asks_all = !self.has_requested_reports && now >= acquired_at + self.settings.report_delay;
+        self.has_requested_reports |= asks_all;
+        let is_unconfirmed = |entry: &ServerEntry| {
+            let change = self.changes.get(&entry.id);
+            change.is_some_and(|change| matches!(change.state, ChangeState::Unconfirmed { .. }))
+        };
+        let staged = list.iter().filter(|entry| entry.stage.is_some());
+        staged.filter(|entry| asks_all || is_unconfirmed(entry)).collect()
+    }
+
+    /// Records the report of a server that the platform lists as `entry`. `switch_time` is what it takes to change its stage.
+    ///
+    /// A server that is changing, or has a stage that the list does not show yet, has accepted an order: under an earlier lease,
+    /// or under this one, if its change takes longer than expected. That change goes on.
+    pub fn record_report(
+        &mut self, now: Duration, entry: &ServerEntry, report: StageReport, switch_time: Duration,
+    ) {
+        let change = self.changes.get(&entry.id);
+        let is_known = change.is_some_and(|change| !matches!(change.state, ChangeState::Unconfirmed { .. }));
+        if self.acquired_at.is_none() || is_known {
+            return;
+        }
+        // What this process has ordered itself is over, or goes on below.
+        if self.changes.remove(&entry.id).is_none() {
+            self.revisions.insert(entry.id.clone(), report.revision);
+        }
+        let going_on = if report.is_busy {
+            Some((opposite(report.stage), switch_time))
+        } else {
+            (entry.stage != Some(report.stage)).then_some((report.stage, Duration::ZERO))
+        };
+        let Some((stage, remaining)) = going_on else { return };
+        let settled_at = now + remaining + self.settings.list_lag;
+        let state = ChangeState::Settling { until: settled_at };
+        let change = Change { service: entry.service.clone(), address: entry.address, stage, state };
+        self.changes.insert(entry.id.clone(), change);
+        self.extend_cooldown(&entry.service, settled_at + self.settings.change_cooldown);
+    }
+
     /// Plans the servers of one service, as the platform lists them, and announces the changes that are needed.
     pub fn plan(&mut self, now: Duration, service: &str, servers: &[&ServerEntry], demand: &Demand) {
         self.remove_expired(now);
@@ -108,7 +160,13 @@
         for (id, change) in &mut self.changes {
             if matches!(change.state, ChangeState::Announced { due_at } if now >= due_at) {
                 change.state = ChangeState::Ordered;
-                orders.push(Order { id: id.clone(), address: change.address, stage: change.stage });
+                let if_revision = self.revisions.remove(id);
+                orders.push(Order {
+                    id: id.clone(),
+                    address: change.address,
+                    stage: change.stage,
+                    if_revision,
+                });
             }
         }
         orders
@@ -153,7 +211,9 @@
     pub fn observe(&mut self, list: &[ServerEntry]) {
         for entry in list {
             let is_settled = self.changes.get(&entry.id).is_some_and(|change| {
-                matches!(change.state, ChangeState::Settling { .. }) && entry.stage == Some(change.stage)
+                let is_settling =
+                    matches!(change.state, ChangeState::Settling { .. } | ChangeState::Unconfirmed { .. });
+                is_settling && entry.stage == Some(change.stage)
             });
             if is_settled {
                 self.changes.remove(&entry.id);
@@ -167,6 +227,12 @@
         self.acquired_at.is_some_and(|acquired_at| now >= acquired_at + delay)
     }
 
+    /// Puts the next change of a service off until a time, if it is not put off for longer.
+    fn extend_cooldown(&mut self, service: &str, until: Duration) {
+        let cooldown = self.cooldown_until.entry(service.to_owned()).or_default();
+        *cooldown = until.max(*cooldown);
+    }
+
     fn is_cooling_down(&self, now: Duration, service: &str) -> bool {
         self.cooldown_until.get(service).is_some_and(|until| now < *until)
     }
@@ -199,6 +265,10 @@
 
     fn remove_expired(&mut self, now: Duration) {
         self.changes.retain(|_, change| !change.is_expired(now));
+        let until = now + self.settings.confirmation_timeout;
+        for change in self.changes.values_mut().filter(|change| change.is_overdue(now)) {
+            change.state = ChangeState::Unconfirmed { until };
+        }
     }
 }
 
--- a/crates/stages/src/settings.rs
+++ b/crates/stages/src/settings.rs
@@ -8,6 +8,12 @@
     /// No order is sent for so long after the lease was acquired; default 3.2 s. Two holders must not give orders in turn
     /// within the lease that the deployment states.
     pub acquisition_delay: Duration,
+    /// The time from the acquisition of the lease to the request of the servers' reports; default 1 s. It covers the age of a
+    /// report, so that it shows all that the last holder ordered, and leaves time for the answers before the first order.
+    pub report_delay: Duration,
+    /// How long the report of a server is awaited whose change the list should show and does not; default 3 s, two reads of
+    /// the list and the answer. After that the change is taken for lost.
+    pub confirmation_timeout: Duration,
     /// The time from the announcement to the order; default 300 ms.
     pub announcement_delay: Duration,
     /// How old the list of servers may be, with the time between two reads; default 2 s.
@@ -26,6 +32,8 @@
     fn default() -> Self {
         PlannerSettings {
             acquisition_delay: Duration::from_millis(3_200),
+            report_delay: Duration::from_millis(1_000),
+            confirmation_timeout: Duration::from_secs(3),
             announcement_delay: Duration::from_millis(300),
             list_lag: Duration::from_millis(2_000),
             change_cooldown: Duration::from_secs(3),
