Eject a server once for failures that were in flight together

Cause: each further failure doubled the ejection, also those of attempts that began before it: eight that failed together kept a server out for 8 s and not for 500 ms.

Change: while a server is ejected, its time stands.

Measured: the new test fails without the change.

--- a/crates/routing/src/outlier_ejection.rs
+++ b/crates/routing/src/outlier_ejection.rs
@@ -35,7 +35,13 @@
 
     /// Ejects the server from `now` on: for [`Tuning::base_ejection_time`] first, then for twice as long each time, up to
     /// [`Tuning::max_ejection_time`].
+    ///
+    /// A server that is ejected stays so until the time that was set: what fails meanwhile was in flight together with what led
+    /// to the ejection, and shows nothing new.
     pub fn eject(&mut self, now: Duration, tuning: &Tuning) {
+        if now < self.ejected_until {
+            return;
+        }
         let doubled = self.ejection_time.saturating_mul(2);
         self.ejection_time = doubled.clamp(tuning.base_ejection_time, tuning.max_ejection_time);
         self.ejected_until = now + self.ejection_time;
--- a/crates/routing/tests/outlier_ejection.rs
+++ b/crates/routing/tests/outlier_ejection.rs
@@ -25,6 +25,25 @@
     assert_eq!(ejection, OutlierEjection::default());
 }
 
+/// Attempts that were in flight together fail one after the other, as when a server crashes under load.
+#[test]
+fn failures_that_were_in_flight_together_eject_for_the_base_time() {
+    let mut balancer = balancer(Tuning::default(), plain(2));
+    let key = key_of(&mut balancer, "a");
+    (0..8).for_each(|_| balancer.record_start(key, Phase::Full));
+    for at in 0..8 {
+        let (elapsed, timeout, work) = (ms(1), ms(1), WorkSize::default());
+        let kind = FailureKind::ConnectionBroken;
+        let failed = Observation::Failure { kind, elapsed, timeout, work };
+        balancer.record_observation(ms(at), key, Phase::Full, failed);
+        balancer.record_end(key, Phase::Full);
+    }
+    let mut is_selected = |at| (0..100).any(|_| select(&mut balancer, at).expect("a selection").key == key);
+    // The second failure ejects it, for 500 ms.
+    assert!(!is_selected(ms(500)));
+    assert!(is_selected(ms(501)));
+}
+
 #[test]
 fn at_most_half_of_a_pool_is_ejected() {
     let mut balancer = balancer(Tuning::default(), plain(4));
