Reread the settings file that was named, take the newest at SIGHUP, time the reply alone

Change: Settings knows its file (reread); the agent's link takes the newest of a watch channel; the limit counts from the end of the write. Proxy and control use the shared start of the metrics endpoint.

--- a/crates/agent/src/control_connection.rs
+++ b/crates/agent/src/control_connection.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -17,7 +18,7 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The longest pause inside a reply: as long as a busy control process may take for the next bytes.
 const STALL_TIMEOUT: Duration = Duration::from_millis(400);
-/// What a complete call may take beyond its `write_and_first_byte_timeout`. A list of thousands of servers takes far less
+/// What a complete reply may take beyond its `write_and_first_byte_timeout`. A list of thousands of servers takes far less
 /// over a narrow link; what takes longer comes from a faulty process that sends its reply byte by byte.
 const COMPLETE_REPLY_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -43,8 +44,8 @@
     /// - On each step: the request must be written within `write_and_first_byte_timeout`, the first byte of the reply must
     ///   come within the same time after that, and each pause inside the reply is at most 400 ms (`STALL_TIMEOUT`). So a
     ///   long list gets through a narrow link as long as bytes keep coming.
-    /// - On the complete call, as a backstop against a peer that sends byte by byte: `write_and_first_byte_timeout` plus 3 s
-    ///   (`COMPLETE_REPLY_TIMEOUT`). It counts from the start of the call, so a slow write leaves less for the reply.
+    /// - On the complete reply, as a backstop against a peer that sends byte by byte: `write_and_first_byte_timeout` plus 3 s
+    ///   (`COMPLETE_REPLY_TIMEOUT`), from the end of the write.
     ///
     /// # Errors
     ///
@@ -56,24 +57,23 @@
     ) -> Result<ControlReply, FrameError> {
         let mut stream =
             self.stream.take().ok_or_else(|| FrameError::Io(io::ErrorKind::NotConnected.into()))?;
-        let call_timeout = write_and_first_byte_timeout + COMPLETE_REPLY_TIMEOUT;
-        let call = send_and_receive(&mut stream, request, write_and_first_byte_timeout);
-        let result = timeout(call_timeout, call).await;
-        let reply = result.map_err(|_| timed_out("waiting for the rest of a reply"))??;
+        let reply = send_and_receive(&mut stream, request, write_and_first_byte_timeout).await?;
         self.stream = Some(stream);
         Ok(reply)
     }
 }
 
-/// Writes the request and reads the reply, with the limits on each step. `write_and_first_byte_timeout` is used twice: for
-/// the write, and then anew until the first byte of the reply.
-async fn send_and_receive(
-    stream: &mut TcpStream, request: &AgentRequest, write_and_first_byte_timeout: Duration,
+/// Writes the request and reads the reply, with all limits of [`ControlConnection::call`]. `write_and_first_byte_timeout` is used
+/// anew for the write, until the first byte of the reply, and within the limit on the complete reply.
+pub(crate) async fn send_and_receive(
+    stream: &mut (impl AsyncRead + AsyncWrite + Unpin), request: &AgentRequest,
+    write_and_first_byte_timeout: Duration,
 ) -> Result<ControlReply, FrameError> {
     let written = timeout(write_and_first_byte_timeout, write_frame(stream, request)).await;
     written.map_err(|_| timed_out("sending a request"))??;
     let mut reader = StallTimeoutReader::new(stream, write_and_first_byte_timeout, STALL_TIMEOUT);
-    let reply = read_frame(&mut reader).await?;
+    let reply = timeout(write_and_first_byte_timeout + COMPLETE_REPLY_TIMEOUT, read_frame(&mut reader)).await;
+    let reply = reply.map_err(|_| timed_out("waiting for the rest of a reply"))??;
     reply.ok_or_else(|| FrameError::Io(io::ErrorKind::UnexpectedEof.into()))
 }
 
--- a/crates/agent/src/control_connection_tests.rs
+++ b/crates/agent/src/control_connection_tests.rs
@@ -1,12 +1,13 @@
 //! The time limits of a call. The clock is paused, so that a limit passes as soon as nothing else can happen.
 
-use crate::control_connection::ControlConnection;
+use crate::control_connection::{ControlConnection, send_and_receive};
 use lugwharf_protocol::{AgentRequest, ControlReply, FrameError, Update, VersionVector, encode, read_frame};
 use rstest::rstest;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
+use tokio::time::sleep;
 
 const FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -118,3 +119,30 @@
     let second = connection.call(&request(), FIRST_BYTE_TIMEOUT).await;
     assert!(matches!(second, Err(FrameError::Io(_))), "{second:?}");
 }
+
+/// Just under the timeout of the write.
+const SLOW_WRITE: Duration = Duration::from_millis(850);
+
+/// The peer takes the request slowly, then sends a reply for 3.7 s. The limit on the reply is 3.9 s and counts from the end of the
+/// write: nothing of it is used up by then.
+#[rstest]
+#[case::within_the_limit(Duration::from_millis(3_700), true)]
+#[case::beyond_the_limit(Duration::from_millis(4_100), false)]
+#[tokio::test(start_paused = true)]
+async fn slow_write_leaves_all_of_the_time_for_the_reply(
+    #[case] reply_time: Duration, #[case] is_in_time: bool,
+) {
+    const PIECES: usize = 11;
+    let (mut near, mut far) = tokio::io::duplex(8);
+    tokio::spawn(async move {
+        sleep(SLOW_WRITE).await;
+        read_frame::<AgentRequest>(&mut far).await.expect("a request");
+        let bytes = encode(&reply()).expect("a frame");
+        for piece in bytes.chunks(bytes.len().div_ceil(PIECES)) {
+            sleep(reply_time / PIECES as u32).await;
+            far.write_all(piece).await.expect("a write");
+        }
+    });
+    let result = send_and_receive(&mut near, &request(), FIRST_BYTE_TIMEOUT).await;
+    assert_eq!(result.is_ok(), is_in_time, "{result:?}");
+}
--- a/crates/agent/src/control_link.rs
+++ b/crates/agent/src/control_link.rs
@@ -20,7 +20,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep};
 
 #[cfg(test)]
@@ -51,26 +51,28 @@
     control_plane: ControlPlaneStatus,
 }
 
-/// Runs until the owner of the tables ends.
+/// Runs until the owner of the tables ends. Each pass begins with the newest settings.
 pub async fn run(
-    settings: Settings, metrics: Arc<AgentMetrics>, commands: mpsc::Sender<Command>,
-    mut reloads: mpsc::Receiver<Settings>, control_plane: ControlPlaneStatus,
+    mut settings: watch::Receiver<Settings>, metrics: Arc<AgentMetrics>, commands: mpsc::Sender<Command>,
+    control_plane: ControlPlaneStatus,
 ) {
+    let (node, source) = {
+        let settings = settings.borrow();
+        (settings.node.clone(), settings.bind)
+    };
     let mut link = ControlLink {
-        node: settings.node.clone(),
+        node,
         incarnation: new_incarnation(),
-        seeds: seed_addresses(&settings),
+        seeds: Vec::new(),
         control: Vec::new(),
-        source: settings.bind,
+        source,
         metrics,
         commands,
         control_plane,
     };
     let mut backoff = Backoff::new(link.incarnation);
     while !link.commands.is_closed() {
-        while let Ok(settings) = reloads.try_recv() {
-            link.seeds = seed_addresses(&settings);
-        }
+        link.seeds = seed_addresses(&settings.borrow_and_update());
         if link.try_all().await {
             backoff.reset();
         }
--- a/crates/agent/src/control_link_tests.rs
+++ b/crates/agent/src/control_link_tests.rs
@@ -1,17 +1,18 @@
 //! Whose updates an agent applies. Scripted control processes reply on loopback, one pass at a time.
 
-use super::{ControlLink, StopReason, is_unfit};
+use super::{ControlLink, StopReason, is_unfit, run};
 use crate::ControlPlaneStatus;
 use crate::table_owner::{Command, PullReport};
 use lugwharf_protocol::{
     AgentRequest, ConfigRecord, ControlReply, FrameError, Update, VersionVector, encode, read_frame,
 };
+use lugwharf_settings::Settings;
 use rstest::rstest;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
 /// How a control process replies to one pull.
@@ -180,3 +181,30 @@
     let candidates = harness.link.candidates();
     assert_eq!((candidates[0], candidates[1], candidates.len()), (known, announced, 4));
 }
+
+/// A pass lasts for as long as a control process serves. Of several SIGHUPs in it the last one counts.
+#[tokio::test]
+async fn pass_begins_with_the_newest_settings() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let last = listener.local_addr().expect("an address");
+    let with_seed = |seed: SocketAddr| {
+        let port = seed.port();
+        let text = format!(
+            "Node = \"front-1\"\nIp = \"127.0.0.1\"\nPortRange = [{}, {}]\nSeeds = [\"{seed}\"]\n",
+            port - 1,
+            port.saturating_add(10)
+        );
+        Settings::parse(&text).expect("settings")
+    };
+    let unused = SocketAddr::from(([127, 0, 0, 1], 9));
+    let (reload, reloads) = watch::channel(with_seed(unused));
+    reload.send_replace(with_seed(unused));
+    reload.send_replace(with_seed(last));
+    let (commands, mut queue) = mpsc::channel(4);
+    let link = tokio::spawn(run(reloads, Arc::default(), commands, ControlPlaneStatus::default()));
+    tokio::select! {
+        accepted = listener.accept() => drop(accepted.expect("a connection")),
+        () = async { while queue.recv().await.is_some() {} } => panic!("the link has ended"),
+    }
+    link.abort();
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -73,21 +73,19 @@
     let (commands, command_queue) = mpsc::channel(COMMAND_QUEUE);
     tokio::spawn(table_owner::run(command_queue));
     tokio::spawn(feed::serve(listener, commands.clone()));
-    let (reload, reloads) = mpsc::channel(1);
+    let (reload, reloads) = watch::channel(settings.clone());
     let metrics = Arc::<AgentMetrics>::default();
     let endpoint = MetricsEndpoint::listen_if_enabled(settings.listen_ip(), options.metrics_port).await;
     if let Some(endpoint) = endpoint {
         tokio::spawn(metrics::serve(endpoint, metrics.clone(), commands.clone()));
     }
-    tokio::spawn(control_link::run(settings, metrics, commands, reloads, options.control_plane));
+    tokio::spawn(control_link::run(reloads, metrics, commands, options.control_plane));
     loop {
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
-            _ = hangup.recv() => match Settings::read(&Settings::path()) {
-                Ok(settings) => {
-                    // Fails while an earlier reload is still queued: the control link takes it between two passes.
-                    let _ = reload.try_send(settings);
-                }
+            _ = hangup.recv() => match settings.reread() {
+                // The control link takes the newest ones between two passes.
+                Ok(settings) => drop(reload.send_replace(settings)),
                 Err(error) => warn!("settings", kv: { outcome = "not_reloaded", error: = error }),
             },
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -117,15 +117,14 @@
     operator::serve(operator_listener, commands.clone(), rejections);
     tokio::spawn(tick(commands.clone()));
     tokio::spawn(announcement::run(settings.bind, commands.clone()));
-    if let Some(port) = options.metrics_port
-        && let Some(endpoint) = MetricsEndpoint::listen(SocketAddr::new(settings.listen_ip(), port)).await
-    {
+    let endpoint = MetricsEndpoint::listen_if_enabled(settings.listen_ip(), options.metrics_port).await;
+    if let Some(endpoint) = endpoint {
         tokio::spawn(metrics::serve(endpoint, commands.clone()));
     }
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hangup.recv() => reload_settings(&commands).await,
+            _ = hangup.recv() => reload_settings(&settings, &commands).await,
             ended = &mut controller => return Err(eyre!("the owner of the state ended: {ended:?}")),
         }
     }
@@ -134,8 +133,8 @@
 }
 
 /// Reads the settings file again; one that can't be read changes nothing.
-async fn reload_settings(commands: &mpsc::Sender<Command>) {
-    match Settings::read(&Settings::path()) {
+async fn reload_settings(settings: &Settings, commands: &mpsc::Sender<Command>) {
+    match settings.reread() {
         Ok(settings) => notify(commands, Command::Reload { settings: Box::new(settings) }).await,
         Err(error) => warn!("settings", kv: { outcome = "not_reloaded", error: = error }),
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -33,8 +33,6 @@
 use lugwharf_telemetry::MetricsEndpoint;
 use state::ProxyState;
 use std::future::Future;
-use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -50,8 +48,6 @@
 pub struct ProxyOptions {
     /// The constants of the routing decisions.
     pub tuning: Tuning,
-    /// The settings file, which is read again at SIGHUP. [`Settings::path`] if absent.
-    pub settings_path: Option<PathBuf>,
     /// The least level that is logged. The logger's own if absent.
     pub log_level: Option<spdlog::LevelFilter>,
     /// The port of `GET /metrics`; not served if absent.
@@ -93,7 +89,6 @@
     let front = TcpListener::bind(front).await.wrap_err_with(|| format!("Listen.Front {front}"))?;
     let ready = TcpListener::bind(ready).await.wrap_err_with(|| format!("Listen.Ready {ready}"))?;
     let hangup = signal(SignalKind::hangup()).wrap_err("SIGHUP")?;
-    let path = options.settings_path.unwrap_or_else(Settings::path);
     let state = ProxyState::new(&settings, options.tuning, seed(&settings));
     let connections = ClientConnections::new(settings.limits.max_fds);
     let grace = Duration::from_secs_f64(settings.bounds.grace_s.min(3_600.0));
@@ -101,12 +96,11 @@
     local.spawn_local(agent_feed::run(state.clone(), settings.feed_address()));
     local.spawn_local(readiness::listen(state.clone(), ready));
     local.spawn_local(close_expired(state.clone()));
-    if let Some(port) = options.metrics_port
-        && let Some(endpoint) = MetricsEndpoint::listen(SocketAddr::new(settings.listen_ip(), port)).await
-    {
+    let endpoint = MetricsEndpoint::listen_if_enabled(settings.listen_ip(), options.metrics_port).await;
+    if let Some(endpoint) = endpoint {
         local.spawn_local(telemetry::metrics_endpoint::serve(state.clone(), connections.clone(), endpoint));
     }
-    local.spawn_local(reload_at_hangup(state.clone(), hangup, path));
+    local.spawn_local(reload_at_hangup(state.clone(), hangup, settings));
     let serving = async move {
         tokio::select! {
             () = stop => {}
@@ -135,9 +129,9 @@
 }
 
 /// Reads the settings file again at each SIGHUP. An invalid file changes nothing.
-async fn reload_at_hangup(state: Rc<ProxyState>, mut hangup: Signal, path: PathBuf) {
+async fn reload_at_hangup(state: Rc<ProxyState>, mut hangup: Signal, settings: Settings) {
     while hangup.recv().await.is_some() {
-        match Settings::read(&path) {
+        match settings.reread() {
             Ok(settings) => {
                 state.reload(&settings);
                 spdlog::info!("settings outcome=reloaded");
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -174,6 +174,9 @@
     /// machines share one loopback interface.
     #[serde(default)]
     pub feed_address: Option<SocketAddr>,
+    /// The file that these settings were read from; `None` for a text. No key of the file.
+    #[serde(skip)]
+    pub source: Option<PathBuf>,
 }
 
 impl Settings {
@@ -188,7 +191,19 @@
     pub fn read(path: &Path) -> Result<Settings, SettingsError> {
         let text = std::fs::read_to_string(path)
             .map_err(|source| SettingsError::Unreadable { path: path.to_owned(), source })?;
-        Settings::parse(&text)
+        let settings = Settings::parse(&text)?;
+        Ok(Settings { source: Some(path.to_owned()), ..settings })
+    }
+
+    /// Reads the same file again, as at SIGHUP; the one at [`Settings::path`] where these settings come from a text.
+    ///
+    /// # Errors
+    /// As [`Settings::read`].
+    pub fn reread(&self) -> Result<Settings, SettingsError> {
+        match &self.source {
+            Some(path) => Settings::read(path),
+            None => Settings::read(&Settings::path()),
+        }
     }
 
     /// The path of the settings file of this process: from the environment, or the default.
--- a/crates/settings/tests/outside_form.rs
+++ b/crates/settings/tests/outside_form.rs
@@ -106,6 +106,7 @@
         },
         cloud: Some(Cloud { address: address("10.200.0.79:8169"), rate_per_s: 5.5, lag_ms: 6 }),
         feed_address: Some(address("127.0.0.2:99")),
+        source: None,
     }
 }
 
@@ -147,6 +148,7 @@
         },
         cloud: None,
         feed_address: None,
+        source: None,
     }
 }
 
@@ -270,3 +272,17 @@
     let error = Settings::parse(&text).expect("settings").control_placement().expect_err("no disk");
     assert_eq!(error.to_string(), "DataDir: is missing on a machine that counts and serves control");
 }
+
+/// SIGHUP: the file that a process was started with is read again, whatever the environment names.
+#[test]
+fn settings_are_read_again_from_the_file_that_they_came_from() {
+    let path = std::env::temp_dir().join(format!("lugwharf-settings-{}.toml", std::process::id()));
+    std::fs::write(&path, NEEDED_KEYS).expect("a file");
+    let settings = Settings::read(&path).expect("settings");
+    assert_eq!(settings, Settings { source: Some(path.clone()), ..every_default() });
+    std::fs::write(&path, format!("{NEEDED_KEYS}Seeds = [\"10.1.0.16:8166\"]\n")).expect("a file");
+    let again = settings.reread().expect("settings");
+    assert_eq!((again.seeds, again.source), (vec![address("10.1.0.16:8166")], Some(path.clone())));
+    std::fs::remove_file(&path).expect("a file");
+    assert!(settings.reread().is_err(), "no other file is read in its place");
+}
