--- a/crates/chain/src/replica/mod.rs
+++ b/crates/chain/src/replica/mod.rs
@@ -147,7 +147,7 @@
             Event::Cancel { id } => self.cancel(id),
             Event::Leave => self.leave(),
             Event::Persisted { batch } => self.on_persisted(batch),
-            Event::PersistFailed { batch } => self.journal.record_failure(now, batch),
+            Event::PersistFailed { batch } => self.journal.record_failure(self.now, batch),
         }
         self.run_to_quiescence();
         self.outbox.append_to(actions);
--- a/crates/chain/src/replica/tests/voting.rs
+++ b/crates/chain/src/replica/tests/voting.rs
@@ -1,5 +1,6 @@
 //! Deciding the next view: who proposes, who votes, and what is on disk before it is sent.
 
+use super::driver::TICK;
 use super::*;
 
 fn recovered(records: &[Record]) -> Replica {
@@ -161,6 +162,26 @@
     assert_eq!(driver.count(is_confirmed), 1);
 }
 
+/// Drivers read the clock of a batch's failure before that of other events, so it may be the earlier one. The pause before the
+/// batch is written again counts from the latest time that the replica knows.
+#[test]
+fn batch_that_failed_is_retried_after_the_pause_though_the_time_went_back() {
+    const PAUSE: Duration = Duration::from_millis(400);
+    let mut driver = serving(2);
+    driver.run(40, &[1, 3]);
+    driver.receive(1, replicate(1));
+    let (batch, _) = driver.unsynced.pop().expect("an entry for the disk");
+    let now = driver.now;
+    driver.now = now - PAUSE;
+    driver.handle(Event::PersistFailed { batch });
+    driver.now = now + TICK;
+    driver.handle(Event::Tick);
+    assert!(driver.unsynced.is_empty(), "a tick after the failure");
+    driver.now = now + PAUSE;
+    driver.handle(Event::Tick);
+    assert_eq!(driver.unsynced.len(), 1, "the pause is over");
+}
+
 /// A view is decided by the acceptances of members alone.
 #[rstest]
 #[case::member(2, true)]
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -26,6 +26,11 @@
         /// The message.
         body: PeerMessage,
     },
+    /// A connection on which messages of a control process arrived has ended.
+    PeerDisconnected {
+        /// The peer address of that process.
+        peer: SocketAddr,
+    },
     /// The storage thread has finished a batch.
     Persisted(PersistOutcome),
     /// An agent pulls what it lacks, or a process announces control processes.
--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -151,6 +151,7 @@
         match command {
             Command::Tick => self.tick(),
             Command::Peer { from, body } => self.peer_message(from, body),
+            Command::PeerDisconnected { peer } => self.handle_replica_event(chain::Event::LinkDown { peer }),
             Command::Persisted(outcome) => self.batch_persisted(outcome),
             Command::Pull { request, reply } => self.agent_request(request, reply),
             Command::Submit { base, version, request, bytes, reply } => {
--- a/crates/control/src/peer_transport.rs
+++ b/crates/control/src/peer_transport.rs
@@ -5,7 +5,7 @@
 //! matters. Nothing here fails a caller; a connection that fails is opened again with the next message.
 
 use crate::acceptor::{self, AcceptLimits};
-use crate::command::Command;
+use crate::command::{Command, notify};
 use crate::message::PeerMessage;
 use lugwharf_protocol::{FrameError, connect_from, encode, read_frame};
 use serde::{Deserialize, Serialize};
@@ -117,32 +117,74 @@
 async fn write_frames(to: SocketAddr, source: Option<IpAddr>, mut frames: mpsc::Receiver<Arc<[u8]>>) {
     let mut connection: Option<TcpStream> = None;
     while let Some(frame) = frames.recv().await {
-        if connection.is_none() {
+        let written = match &mut connection {
+            Some(stream) => write_frame(stream, &frame).await,
+            None => WriteResult::Closed,
+        };
+        // The peer restarted, or a reset came between two frames. The frame has not arrived, and the peer may take this one's
+        // absence for a failure of this process.
+        if written == WriteResult::Closed {
             connection = connect(to, source).await.ok();
+            let Some(stream) = &mut connection else {
+                sleep(RECONNECT_DELAY).await;
+                // Whatever was queued meanwhile is out of date.
+                while frames.try_recv().is_ok() {}
+                continue;
+            };
+            if write_frame(stream, &frame).await == WriteResult::Written {
+                continue;
+            }
         }
-        let Some(stream) = &mut connection else {
-            sleep(RECONNECT_DELAY).await;
-            // Whatever was queued meanwhile is out of date.
-            while frames.try_recv().is_ok() {}
-            continue;
-        };
-        let written = timeout(WRITE_TIMEOUT, stream.write_all(&frame)).await;
-        if !matches!(written, Ok(Ok(()))) {
+        if written != WriteResult::Written {
             connection = None;
         }
     }
 }
 
+/// What became of a frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WriteResult {
+    /// It was handed to the system.
+    Written,
+    /// The connection is closed, and the peer has not received the complete frame.
+    Closed,
+    /// The peer does not read, or can't be reached.
+    TimedOut,
+}
+
+async fn write_frame(stream: &mut TcpStream, frame: &[u8]) -> WriteResult {
+    match timeout(WRITE_TIMEOUT, stream.write_all(frame)).await {
+        Ok(Ok(())) => WriteResult::Written,
+        Ok(Err(_)) => WriteResult::Closed,
+        Err(_) => WriteResult::TimedOut,
+    }
+}
+
 /// Accepts other control processes for as long as the process runs.
 pub async fn accept(listener: TcpListener, commands: mpsc::Sender<Command>) {
     let limits = AcceptLimits { kind: "peer", max_connections: MAX_CONNECTIONS };
     acceptor::accept(listener, limits, commands, read_frames).await;
 }
 
+/// Reads the frames of one connection until it ends, and reports the end, which tells of a process that was killed before its
+/// heartbeats are missed.
 async fn read_frames(mut stream: TcpStream, commands: mpsc::Sender<Command>) -> Result<(), FrameError> {
+    let mut peer = None;
+    let ended = read_frames_of(&mut stream, &commands, &mut peer).await;
+    if let Some(peer) = peer {
+        notify(&commands, Command::PeerDisconnected { peer }).await;
+    }
+    ended
+}
+
+/// Reads the frames of one connection; `peer` becomes the sender that the last one names.
+async fn read_frames_of(
+    stream: &mut TcpStream, commands: &mpsc::Sender<Command>, peer: &mut Option<SocketAddr>,
+) -> Result<(), FrameError> {
     loop {
-        let frame = timeout(IDLE_TIMEOUT, read_frame::<PeerFrame>(&mut stream)).await;
+        let frame = timeout(IDLE_TIMEOUT, read_frame::<PeerFrame>(stream)).await;
         let Some(PeerFrame { from, body }) = frame.map_err(std::io::Error::from)?? else { return Ok(()) };
+        *peer = Some(from);
         if commands.send(Command::Peer { from, body }).await.is_err() {
             return Ok(());
         }
