--- a/crates/emulator/src/operator.rs
+++ b/crates/emulator/src/operator.rs
@@ -126,17 +126,35 @@
 
 /// One attempt at one address, with its redirects.
 pub async fn call_once(address: SocketAddr, request: &Request) -> Result<Response, CallError> {
-    let mut address = address;
-    let mut request = request.clone();
+    call_with_redirects(address, request).await.result
+}
+
+/// An attempt with its redirects.
+#[derive(Debug)]
+pub struct RedirectedCall {
+    /// The address that was called last: where redirects led, or the first one.
+    pub reached: SocketAddr,
+    /// What came of it.
+    pub result: Result<Response, CallError>,
+}
+
+/// One attempt at one address, with its redirects and where they led.
+pub async fn call_with_redirects(address: SocketAddr, request: &Request) -> RedirectedCall {
+    let mut reached = address;
+    let result = follow_redirects(&mut reached, request.clone()).await;
+    RedirectedCall { reached, result }
+}
+
+async fn follow_redirects(address: &mut SocketAddr, mut request: Request) -> Result<Response, CallError> {
     for _ in 0..=MAX_REDIRECTS {
         request.headers.set(names::HOST, address.to_string());
-        let response = exchange(address, &request).await?;
+        let response = exchange(*address, &request).await?;
         if response.status != 307 {
             return Ok(response);
         }
         let location = response.headers.get(names::LOCATION).and_then(parse_location);
         let (next, target) = location.ok_or(CallError::BadRedirect)?;
-        address = next;
+        *address = next;
         request.target = target;
     }
     Err(CallError::BadRedirect)
--- a/crates/soak/src/checker/configurations.rs
+++ b/crates/soak/src/checker/configurations.rs
@@ -106,9 +106,10 @@
         }
     }
     // A write is sent to one process after the other, a read to one alone.
-    let calm_reads = reads
-        .iter()
-        .filter(|read| is_operator_address_calm(records, read.from, read.started_at, read.ended_at));
+    let calm_reads = reads.iter().filter(|read| {
+        let is_calm = |address| is_operator_address_calm(records, address, read.started_at, read.ended_at);
+        is_calm(read.from) && is_calm(read.reached)
+    });
     for read in calm_reads {
         if read.bytes.is_none() {
             let facts = format!("no answer at {} from {} ms on", read.from, read.started_at.as_millis());
--- a/crates/soak/src/operator_log.rs
+++ b/crates/soak/src/operator_log.rs
@@ -43,6 +43,8 @@
 pub struct ConfigRead {
     /// The address that was read at.
     pub from: SocketAddr,
+    /// Where its redirects led; the same address if there were none.
+    pub reached: SocketAddr,
     /// When the request was sent, since the start of the world.
     pub started_at: Duration,
     /// When the response was received or the attempt ended, since the start of the world.
--- a/crates/soak/src/operators.rs
+++ b/crates/soak/src/operators.rs
@@ -3,7 +3,7 @@
 use crate::configuration::{configuration, version_of};
 use crate::operator_log::{ConfigRead, ConfigWrite, OperatorLog};
 use lugwharf_emulator::host::World;
-use lugwharf_emulator::operator::{CallOutcome, Operator, call_once};
+use lugwharf_emulator::operator::{CallOutcome, Operator, RedirectedCall, call_with_redirects};
 use lugwharf_emulator::wire::Request;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -248,7 +248,7 @@
 /// Reads the newest configuration once, at one address.
 pub async fn read_once(world: &World, from: SocketAddr) -> ConfigRead {
     let started_at = world.now();
-    let response = call_once(from, &Request::new("GET", "/config")).await;
-    let bytes = response.ok().filter(|response| response.status == 200).map(|response| response.body);
-    ConfigRead { from, started_at, ended_at: world.now(), bytes }
+    let RedirectedCall { reached, result } = call_with_redirects(from, &Request::new("GET", "/config")).await;
+    let bytes = result.ok().filter(|response| response.status == 200).map(|response| response.body);
+    ConfigRead { from, reached, started_at, ended_at: world.now(), bytes }
 }
