Put off the retry of a platform that nobody reaches, longer each time

Cause: with the platform out of reach for all, the lease made one round of the control processes every 30 s, each time with an election and 3.2 s without stage planning.

Change: the wait before a process is expected to reach it again doubles up to 4 min, and is 30 s again once anybody has read the list.

Measured: in a simulated quarter of an hour of three processes at most 16 moves; every 30 s there would be 60. The test fails without the change.

--- a/crates/control/src/controller/peer_exchange.rs
+++ b/crates/control/src/controller/peer_exchange.rs
@@ -101,7 +101,10 @@
 
     fn apply_peer_update(&mut self, from: SocketAddr, update: &Update) {
         match self.tables.apply(update) {
-            Ok(true) => self.serve_pulls(),
+            Ok(true) => {
+                self.platform_reachability.record_peer_success();
+                self.serve_pulls();
+            }
             Ok(false) => {}
             Err(error) => debug!("servers", kv: { outcome = "rejected", from: = from, error: = error }),
         }
--- a/crates/control/src/controller/platform_reachability.rs
+++ b/crates/control/src/controller/platform_reachability.rs
@@ -5,9 +5,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// A process that failed to reach the platform is not expected to reach it for so long. With all processes cut off, the lease
-/// then makes one round of the members in this time.
+/// A process that failed to reach the platform is not expected to reach it for so long. It doubles with each further failure,
+/// up to [`MAX_RETRY_AFTER`], while nobody reads the list: with all processes cut off, the lease makes one round of the members in
+/// that time, and each round leaves the fleet without stage planning for seconds.
 const RETRY_AFTER: Duration = Duration::from_secs(30);
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(240);
 /// Peers report every 500 ms (`EXCHANGE_INTERVAL`). A report older than this missed three exchanges and is ignored.
 const REPORT_TTL: Duration = Duration::from_secs(2);
 
@@ -27,6 +29,8 @@
 pub struct PlatformReachability {
     /// The last failure of this process, until it succeeds again.
     failed_at: Option<Duration>,
+    /// Failures since the list was last read, by whichever process.
+    failures: u32,
     peers: BTreeMap<SocketAddr, PeerReport>,
 }
 
@@ -34,11 +38,18 @@
     /// This process has read the list.
     pub fn record_success(&mut self) {
         self.failed_at = None;
+        self.failures = 0;
+    }
+
+    /// A peer has read the list. This process may still be cut off from the platform.
+    pub fn record_peer_success(&mut self) {
+        self.failures = self.failures.min(1);
     }
 
     /// This process could not reach the platform for too long.
     pub fn record_failure(&mut self, now: Duration) {
         self.failed_at = Some(now);
+        self.failures = self.failures.saturating_add(1);
     }
 
     /// A peer reports whether it may reach the platform.
@@ -47,9 +58,11 @@
         self.peers.insert(peer, PeerReport { is_reachable, received_at: now });
     }
 
-    /// Whether this process may reach the platform: it has not failed within [`RETRY_AFTER`].
+    /// Whether this process may reach the platform: it has not failed within [`RETRY_AFTER`], or longer after several failures.
     pub fn may_be_reachable(&self, now: Duration) -> bool {
-        self.failed_at.is_none_or(|at| now.saturating_sub(at) >= RETRY_AFTER)
+        let doublings = self.failures.saturating_sub(1).min(u32::BITS - 1);
+        let retry_after = RETRY_AFTER.saturating_mul(1 << doublings).min(MAX_RETRY_AFTER);
+        self.failed_at.is_none_or(|at| now.saturating_sub(at) >= retry_after)
     }
 
     /// Whether one of these peers has reported within [`REPORT_TTL`] that it may reach the platform.
--- a/crates/control/src/controller/platform_reachability_tests.rs
+++ b/crates/control/src/controller/platform_reachability_tests.rs
@@ -45,14 +45,34 @@
     assert!(reach.may_be_reachable(ms(1_001)));
 }
 
+/// A process that a list reached through a peer is expected to reach the platform as soon as after its first failure.
+#[test]
+fn failures_add_up_until_somebody_reads_the_list() {
+    let mut reach = PlatformReachability::default();
+    let mut now = 0;
+    for wait in [30_000, 60_000, 120_000, 240_000, 240_000] {
+        reach.record_failure(ms(now));
+        assert!(!reach.may_be_reachable(ms(now + wait - 1)), "{wait}");
+        now += wait;
+        assert!(reach.may_be_reachable(ms(now)), "{wait}");
+    }
+    reach.record_failure(ms(now));
+    reach.record_peer_success();
+    assert!(!reach.may_be_reachable(ms(now + 29_999)), "this process may still be cut off");
+    assert!(reach.may_be_reachable(ms(now + 30_000)));
+    reach.record_success();
+    reach.record_failure(ms(now));
+    assert!(reach.may_be_reachable(ms(now + 30_000)), "the first failure since");
+}
+
 /// Three processes, none of which reaches the platform: each holder fails 1.4 s after it acquired the lease, reports that, and
 /// steps down if a peer may reach the platform.
 #[test]
-fn lease_makes_one_round_while_nobody_reaches_the_platform() {
+fn lease_makes_few_rounds_while_nobody_reaches_the_platform() {
     let mut reaches: Vec<PlatformReachability> = (0..3).map(|_| PlatformReachability::default()).collect();
     let all: Vec<SocketAddr> = (1..=3).map(address).collect();
     let (mut holder, mut gained, mut moves) = (0, 0, Vec::new());
-    for now in (0..60_000).step_by(100) {
+    for now in (0..900_000).step_by(100) {
         for from in 0..3 {
             let expected = reaches[from].may_be_reachable(ms(now));
             reaches.iter_mut().for_each(|reach| reach.record_peer_report(ms(now), all[from], expected));
@@ -72,5 +92,8 @@
     }
     let first_round = moves.iter().filter(|at| **at < 30_000).count();
     assert_eq!(first_round, 2, "{moves:?}");
-    assert!(moves.len() <= 5, "{moves:?}");
+    let first_minute = moves.iter().filter(|at| **at < 60_000).count();
+    assert!(first_minute <= 5, "{moves:?}");
+    // Every 30 s there would be 60 in a quarter of an hour.
+    assert!(moves.len() <= 16, "{moves:?}");
 }
