Name the lost replica, the branch of full, the hash at the proxy and a stuck first start

Cause: five questions of on-call duty that the lines did not answer, and a first start with too few seeds that run control, which said nothing.

Change: view outcome=proposed has replica and fault; a failed request's line has cause; the proxy logs the hash of its configuration (ConfigHash, shared with the agent, which needs the chain crate no more); an invalid change has the number that it claims; a missing settings file is named once; bootstrap outcome=waiting names the seeds that are absent. MAX_PRIORITY stands once, and the gauge list_reader looks at its role alone.

--- a/crates/agent/src/table_owner.rs
+++ b/crates/agent/src/table_owner.rs
@@ -1,11 +1,9 @@
 //! The owner of the agent's tables. The other tasks send it commands through a queue.
 
-use lugwharf_chain::Blake3;
 use lugwharf_distribution::Tables;
 use lugwharf_invariants::{Invariant, check};
 use lugwharf_protocol::{ServiceLoad, Update, VersionVector};
 use spdlog::prelude::*;
-use std::fmt;
 use tokio::sync::{mpsc, oneshot};
 
 /// Feeds that may wait for an update: one proxy, its successors, and those whose end has not been noticed yet.
@@ -141,16 +139,7 @@
 fn log_new_config(before: u64, tables: &Tables) {
     if let Some(config) = tables.config().filter(|config| config.version != before) {
         info!("config", kv: {
-            outcome = "applied", version = config.version, hash: = ConfigHash(&config.bytes), bytes = config.bytes.len()
+            outcome = "applied", version = config.version, hash: = config.hash(), bytes = config.bytes.len()
         });
     }
 }
-
-/// The hash of a configuration in hex, as control processes log it; computed only if the line is written.
-struct ConfigHash<'a>(&'a [u8]);
-
-impl fmt::Display for ConfigHash<'_> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        Blake3::of(self.0).fmt(f)
-    }
-}
--- a/crates/chain/src/lib.rs
+++ b/crates/chain/src/lib.rs
@@ -84,7 +84,7 @@
 pub use event::Event;
 pub use heartbeat::{Heartbeat, HistoryPosition, Link};
 pub use history_stream::{Chunk, ChunkRequest};
-pub use log_event::{LogEvent, ViewChangeReason};
+pub use log_event::{FaultyReplica, LogEvent, ReplicaFault, ViewChangeReason};
 pub use member::MemberId;
 pub use message::Message;
 pub use paxos::{AcceptedProposal, ProposalNumber};
--- a/crates/chain/src/log_event.rs
+++ b/crates/chain/src/log_event.rs
@@ -2,6 +2,7 @@
 
 use crate::entry::EntryHeader;
 use crate::member::MemberId;
+use std::net::SocketAddr;
 
 /// The reason for which a view is proposed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,6 +21,30 @@
     Stalled,
 }
 
+/// What is wrong with a replica of the chain, or with a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplicaFault {
+    /// Another disk answers under its address: its own is lost.
+    DiskLost,
+    /// Its disk rejects batches, or is too slow.
+    DiskFault,
+    /// It is shutting down.
+    Leaving,
+    /// Neither this process nor, as far as it knows, another one hears it.
+    Unreachable,
+    /// It and another replica do not reach each other.
+    LinkSevered,
+}
+
+/// The replica or member because of which a view is proposed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FaultyReplica {
+    /// Its peer address.
+    pub address: SocketAddr,
+    /// What is wrong with it, as far as the proposer sees.
+    pub fault: ReplicaFault,
+}
+
 /// An event for the process log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LogEvent {
@@ -38,6 +63,8 @@
         number: u64,
         /// The reason for which the current view has to be replaced.
         reason: ViewChangeReason,
+        /// The first replica of the current chain, or member, with which something is wrong.
+        faulty: Option<FaultyReplica>,
     },
     /// All replicas of a view's chain hold the history.
     Serving {
--- a/crates/chain/src/replica/proposer.rs
+++ b/crates/chain/src/replica/proposer.rs
@@ -107,7 +107,8 @@
         let phase = Phase::Preparing { promises: BTreeMap::new(), majority_since: None };
         self.proposer.attempt = Some(Attempt { proposal, deadline, phase });
         let instance = self.view.number + 1;
-        self.outbox.log(LogEvent::Proposing { number: instance, reason });
+        let faulty = self.planner().faulty_replica();
+        self.outbox.log(LogEvent::Proposing { number: instance, reason, faulty });
         self.promise(instance, proposal);
         // The number is sent once this process's own promise is on disk. After a restart it continues above that promise, so no
         // number is ever used twice.
--- a/crates/chain/src/view_planner/chain.rs
+++ b/crates/chain/src/view_planner/chain.rs
@@ -2,6 +2,7 @@
 
 use super::ViewPlanner;
 use crate::heartbeat::Heartbeat;
+use crate::log_event::{FaultyReplica, ReplicaFault};
 use crate::member::MemberId;
 
 /// The rank of a chain. The fields are compared in this order, the most important one first.
@@ -19,22 +20,45 @@
 impl ViewPlanner<'_> {
     /// Whether a replica of the current chain is unusable, or two of its replicas do not reach each other.
     pub(super) fn is_chain_broken(&self) -> bool {
-        let chain = &self.view.chain;
-        let has_unusable = chain.iter().any(|replica| self.is_unusable(*replica));
-        let is_severed = |one: &MemberId| {
-            chain.iter().any(|other| self.peers.is_severed(one.address, other.address, self.now))
+        self.faulty_of(&self.view.chain).is_some()
+    }
+
+    /// The first replica of the current chain with which something is wrong, or the first such member outside of it.
+    pub fn faulty_replica(&self) -> Option<FaultyReplica> {
+        let outside = self.view.members.iter().filter(|member| self.view.position(**member).is_none());
+        let outside: Vec<MemberId> = outside.copied().collect();
+        self.faulty_of(&self.view.chain).or_else(|| self.faulty_of(&outside))
+    }
+
+    /// The first of these processes that is unusable, or does not reach another one of them.
+    fn faulty_of(&self, processes: &[MemberId]) -> Option<FaultyReplica> {
+        let unusable = processes.iter().find_map(|process| {
+            self.fault_of(*process).map(|fault| FaultyReplica { address: process.address, fault })
+        });
+        let is_severed = |one: &&MemberId| {
+            processes.iter().any(|other| self.peers.is_severed(one.address, other.address, self.now))
         };
-        has_unusable || chain.iter().any(is_severed)
+        unusable.or_else(|| {
+            let severed = processes.iter().find(is_severed)?;
+            Some(FaultyReplica { address: severed.address, fault: ReplicaFault::LinkSevered })
+        })
     }
 
-    /// Whether a replica of the current chain lost its disk, has an unhealthy one, leaves or is unreachable.
-    fn is_unusable(&self, replica: MemberId) -> bool {
+    /// What makes a process unusable as a replica.
+    fn fault_of(&self, replica: MemberId) -> Option<ReplicaFault> {
         if replica.address == self.local_member.address {
-            return replica != self.local_member || !self.disk_healthy;
+            if replica != self.local_member {
+                return Some(ReplicaFault::DiskLost);
+            }
+            return (!self.disk_healthy).then_some(ReplicaFault::DiskFault);
         }
         match self.peers.live_heartbeat(replica.address, self.now) {
-            Some(heartbeat) => heartbeat.sender != replica || !heartbeat.disk_healthy || heartbeat.is_leaving,
-            None => !self.peers.is_heard_by_others(replica.address, self.now),
+            Some(heartbeat) if heartbeat.sender != replica => Some(ReplicaFault::DiskLost),
+            Some(heartbeat) if !heartbeat.disk_healthy => Some(ReplicaFault::DiskFault),
+            Some(heartbeat) if heartbeat.is_leaving => Some(ReplicaFault::Leaving),
+            Some(_) => None,
+            None => (!self.peers.is_heard_by_others(replica.address, self.now))
+                .then_some(ReplicaFault::Unreachable),
         }
     }
 
--- a/crates/chain/src/view_planner/tests.rs
+++ b/crates/chain/src/view_planner/tests.rs
@@ -1,7 +1,7 @@
 //! Plans for views from the heartbeats of the peers.
 
 use crate::heartbeat::{Heartbeat, Link};
-use crate::log_event::ViewChangeReason;
+use crate::log_event::{FaultyReplica, ReplicaFault, ViewChangeReason};
 use crate::member::MemberId;
 use crate::peers::Peers;
 use crate::settings::ReplicaSettings;
@@ -89,6 +89,15 @@
 fn plan_with(
     view: &View, reports_of_peers: &[Report], holders: &[MemberId],
 ) -> Option<(Vec<MemberId>, Vec<MemberId>, Option<ViewChangeReason>)> {
+    with_planner(view, reports_of_peers, |planner| {
+        let plan = planner.plan(holders)?;
+        let reason = planner.change_reason(&plan);
+        Some((plan.members, plan.chain, reason))
+    })
+}
+
+/// What the planner of process 1 finds after the peers have reported this for a long time.
+fn with_planner<T>(view: &View, reports_of_peers: &[Report], find: impl FnOnce(&ViewPlanner<'_>) -> T) -> T {
     let settings = ReplicaSettings::new(address(1), Vec::new(), false, 1, 1);
     let mut peers = Peers::new(address(1), settings.suspect_after);
     for member in &view.members {
@@ -100,7 +109,7 @@
         }
     }
     let now = STEP * MANY_STEPS;
-    let planner = ViewPlanner {
+    find(&ViewPlanner {
         view,
         local_member: member(1),
         disk_healthy: true,
@@ -111,10 +120,7 @@
         peers: &peers,
         settings: &settings,
         now,
-    };
-    let plan = planner.plan(holders)?;
-    let reason = planner.change_reason(&plan);
-    Some((plan.members, plan.chain, reason))
+    })
 }
 
 fn heartbeat(report: &Report) -> Heartbeat {
@@ -304,3 +310,24 @@
     let (_, chain, _) = plan_with(&view(&[1, 2, 3], &[1, 2]), &reports_of_peers, &members(&[3])).unwrap();
     assert_eq!(chain, members(&[1, 3]));
 }
+
+/// Operators read which replica a view was proposed for, and what is wrong with it.
+#[rstest]
+#[case::healthy(&[reports(2, &[1, 3]), reports(3, &[1, 2])], None)]
+#[case::silent(&[reports(2, &[1])], Some((3, ReplicaFault::Unreachable)))]
+#[case::silent_here_alone(&[reports(2, &[1, 3])], Some((1, ReplicaFault::LinkSevered)))]
+#[case::wiped(&[reports(2, &[1, 3]), wiped(reports(3, &[1, 2]))], Some((3, ReplicaFault::DiskLost)))]
+#[case::leaves(&[leaving(reports(2, &[1, 3])), reports(3, &[1, 2])], Some((2, ReplicaFault::Leaving)))]
+#[case::disk(
+    &[Report { disk_healthy: false, ..reports(2, &[1, 3]) }, reports(3, &[1, 2])],
+    Some((2, ReplicaFault::DiskFault))
+)]
+#[case::link(&[reports(2, &[1]), reports(3, &[1])], Some((2, ReplicaFault::LinkSevered)))]
+fn faulty_replica_is_named_with_what_is_wrong(
+    #[case] reports_of_peers: &[Report], #[case] expected: Option<(u8, ReplicaFault)>,
+) {
+    let view = view(&[1, 2, 3], &[1, 2, 3]);
+    let found = with_planner(&view, reports_of_peers, |planner| planner.faulty_replica());
+    let expected = expected.map(|(number, fault)| FaultyReplica { address: address(number), fault });
+    assert_eq!(found, expected);
+}
--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -15,6 +15,7 @@
 //! | `stage_planning` | orders to model servers |
 //! | `view_changes` | views of the replica, for the elector |
 //! | `seed_discovery` | finds control processes through seeds that run none |
+//! | `bootstrap_notice` | what a first start waits for |
 //! | `graceful_shutdown` | the steps after SIGTERM |
 //! | `status_report` | `GET /status`, `GET /metrics` |
 //!
@@ -48,6 +49,9 @@
 #[cfg(test)]
 mod agent_registry_tests;
 mod agent_requests;
+mod bootstrap_notice;
+#[cfg(test)]
+mod bootstrap_notice_tests;
 mod commit_history;
 mod fleet_load;
 mod graceful_shutdown;
@@ -84,6 +88,7 @@
 mod view_tracker_tests;
 
 use agent_registry::AgentRegistry;
+use bootstrap_notice::BootstrapNotice;
 use commit_history::CommitHistory;
 use fleet_load::FleetLoad;
 use graceful_shutdown::GracefulShutdown;
@@ -127,6 +132,7 @@
     report_schedule: ReportSchedule,
     platform_reachability: PlatformReachability,
     pause_detector: PauseDetector,
+    bootstrap_notice: BootstrapNotice,
     log_writer: Sender<LogBatch>,
     metrics: Metrics,
     /// In progress since SIGTERM.
@@ -202,6 +208,7 @@
         self.report_if_due();
         self.send_due_orders();
         self.serve_pulls();
+        self.notice_delayed_bootstrap();
         self.continue_shutdown();
     }
 
--- a/crates/control/src/controller/list_watcher_role.rs
+++ b/crates/control/src/controller/list_watcher_role.rs
@@ -4,7 +4,7 @@
 //! which holder is known, for `GET /status`.
 
 use super::Controller;
-use crate::lease::HeldLease;
+use crate::lease::{HeldLease, ROLE_NAME};
 use crate::message::PeerMessage;
 use crate::record_owner::RecordOwner;
 use crate::status::RoleStatus;
@@ -13,9 +13,6 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// The name of the role in the log, in `/status` and in the metrics.
-pub const ROLE_NAME: &str = "list_reader";
-
 /// What tasks and operators learn of the lease.
 pub struct ListWatcherRole {
     lease: watch::Sender<Option<HeldLease>>,
--- a/crates/control/src/controller/server_list.rs
+++ b/crates/control/src/controller/server_list.rs
@@ -4,7 +4,7 @@
 //! one of a newer lease. The list of the initial read has [`PROVISIONAL_EPOCH`] and gives way to any other.
 
 use super::Controller;
-use super::list_watcher_role::ROLE_NAME;
+use crate::lease::ROLE_NAME;
 use crate::message::{PeerMessage, TablesMessage};
 use lugwharf_distribution::PROVISIONAL_EPOCH;
 use lugwharf_election as election;
--- a/crates/control/src/controller/stage_planning.rs
+++ b/crates/control/src/controller/stage_planning.rs
@@ -2,7 +2,7 @@
 
 use super::Controller;
 use super::fleet_load::FleetLoad;
-use super::list_watcher_role::ROLE_NAME;
+use crate::lease::ROLE_NAME;
 use crate::metrics::order_outcome_name;
 use crate::orders::AuthorizedOrder;
 use crate::server_reports::ReportRequest;
--- a/crates/control/src/controller/startup.rs
+++ b/crates/control/src/controller/startup.rs
@@ -2,6 +2,7 @@
 
 use super::Controller;
 use super::agent_registry::AgentRegistry;
+use super::bootstrap_notice::BootstrapNotice;
 use super::commit_history::CommitHistory;
 use super::fleet_load::FleetLoad;
 use super::list_watcher_role::ListWatcherRole;
@@ -136,6 +137,7 @@
             report_schedule: ReportSchedule::default(),
             platform_reachability: PlatformReachability::default(),
             pause_detector: PauseDetector::default(),
+            bootstrap_notice: BootstrapNotice::default(),
             log_writer: log.writer,
             metrics: Metrics::new(rejections),
             shutdown: None,
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -7,6 +7,9 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
+/// The name of the list watcher's role in the log, in `/status` and in the metrics.
+pub const ROLE_NAME: &str = "list_reader";
+
 /// A lease held by this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeldLease {
--- a/crates/control/src/logs.rs
+++ b/crates/control/src/logs.rs
@@ -4,7 +4,7 @@
 //! search for: `docs/OPERATING.md`, "Reading the logs", lists them all. The lease is logged by `list_watcher_role`, a change
 //! of the operator by `operator::config_change`.
 
-use lugwharf_chain::{Blake3, LogEvent, Message, ViewChangeReason};
+use lugwharf_chain::{Blake3, LogEvent, Message, ReplicaFault, ViewChangeReason};
 use spdlog::prelude::*;
 use std::fmt::{self, Write};
 use std::net::SocketAddr;
@@ -44,9 +44,13 @@
                 outcome = "started", address: = identity.address, disk = disk.as_str(), may_bootstrap = *may_bootstrap, view = *view
             });
         }
-        LogEvent::Proposing { number, reason } => {
+        LogEvent::Proposing { number, reason, faulty } => {
             let reason = reason_name(*reason);
-            info!(logger: logger, "view", kv: { outcome = "proposed", view = *number, reason });
+            let replica = faulty.map_or_else(|| "-".to_owned(), |faulty| faulty.address.to_string());
+            let fault = faulty.map_or("-", |faulty| fault_name(faulty.fault));
+            info!(logger: logger, "view", kv: {
+                outcome = "proposed", view = *number, reason, replica = replica.as_str(), fault
+            });
         }
         LogEvent::Serving { number, replicas } => {
             info!(logger: logger, "view", kv: { outcome = "serving", view = *number, replicas = *replicas });
@@ -83,6 +87,16 @@
     }
 }
 
+fn fault_name(fault: ReplicaFault) -> &'static str {
+    match fault {
+        ReplicaFault::DiskLost => "disk_lost",
+        ReplicaFault::DiskFault => "disk_fault",
+        ReplicaFault::Leaving => "leaving",
+        ReplicaFault::Unreachable => "unreachable",
+        ReplicaFault::LinkSevered => "link_severed",
+    }
+}
+
 /// Logs a message that carries a change: forwarded to the head, or replicated down the chain.
 pub fn forwarded_change(to: SocketAddr, message: &Message) {
     match message {
--- a/crates/control/src/logs_tests.rs
+++ b/crates/control/src/logs_tests.rs
@@ -1,7 +1,9 @@
 //! The lines of the log, as they are written.
 
 use crate::logs::{self, Excerpt, Hash};
-use lugwharf_chain::{Blake3, Digest, EntryHeader, Fnv, LogEvent, MemberId, ViewChangeReason};
+use lugwharf_chain::{
+    Blake3, Digest, EntryHeader, FaultyReplica, Fnv, LogEvent, MemberId, ReplicaFault, ViewChangeReason,
+};
 use rstest::rstest;
 use spdlog::formatter::{PatternFormatter, pattern};
 use spdlog::sink::WriteSink;
@@ -41,8 +43,19 @@
     "info replica outcome=started address=10.0.0.1:7700 disk=000000000000005a may_bootstrap=true view=4".to_owned()
 )]
 #[case::proposing(
-    LogEvent::Proposing { number: 5, reason: ViewChangeReason::ChainBroken },
-    "info view outcome=proposed view=5 reason=chain_broken".to_owned()
+    LogEvent::Proposing {
+        number: 5,
+        reason: ViewChangeReason::ChainBroken,
+        faulty: Some(FaultyReplica {
+            address: SocketAddr::from(([10, 0, 0, 3], 7_700)),
+            fault: ReplicaFault::Unreachable,
+        }),
+    },
+    "info view outcome=proposed view=5 reason=chain_broken replica=10.0.0.3:7700 fault=unreachable".to_owned()
+)]
+#[case::bootstrapping(
+    LogEvent::Proposing { number: 1, reason: ViewChangeReason::Bootstrap, faulty: None },
+    "info view outcome=proposed view=1 reason=bootstrap replica=- fault=-".to_owned()
 )]
 #[case::serving(
     LogEvent::Serving { number: 5, replicas: 2 },
@@ -84,3 +97,12 @@
 fn excerpt_is_bounded() {
     assert_eq!(Excerpt(&"ü".repeat(3_000_000)).to_string(), "ü".repeat(200));
 }
+
+/// A configuration is followed from the operator to the proxies by the hash in the lines of all processes.
+#[test]
+fn agents_and_proxies_show_the_hash_that_control_processes_show() {
+    let bytes = br#"{"Version":7}"#;
+    let record = lugwharf_protocol::ConfigRecord { version: 7, bytes: bytes.to_vec() };
+    assert_eq!(record.hash().to_string(), Hash(bytes).to_string());
+    assert_eq!(record.hash().to_string().len(), 32);
+}
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -6,6 +6,7 @@
 //! the same role.
 
 use crate::command::Command;
+use crate::lease::ROLE_NAME;
 use crate::operator_error::ErrorKind;
 use crate::status::Status;
 use lugwharf_protocol::{ServerEntry, ServerState, Stage};
@@ -138,7 +139,8 @@
         self.serving.set(status.serving.into());
         self.disk_healthy.set(status.disk_healthy.into());
         self.config_version.set(as_gauge(status.config_version));
-        self.list_reader.set(status.roles.iter().any(|role| role.held_here).into());
+        let is_list_watcher = status.roles.iter().any(|role| role.role == ROLE_NAME && role.held_here);
+        self.list_reader.set(is_list_watcher.into());
         self.live_proxies.set(status.live_proxies.into());
         self.agents.set(as_gauge(status.agents.len()));
         self.agents_behind.set(as_gauge(behind));
--- a/crates/control/src/operator/config_change.rs
+++ b/crates/control/src/operator/config_change.rs
@@ -9,7 +9,7 @@
 use lugwharf_chain::Blake3;
 use lugwharf_config::{ConfigError, Configuration, ConfigurationPatch};
 use lugwharf_protocol::MAX_FRAME_BYTES;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use spdlog::prelude::*;
 use std::sync::Arc;
 use std::time::Duration;
@@ -156,7 +156,7 @@
 impl Change {
     fn log(&self, conn: &Conn, result: &Result<Response, OperatorError>, took: Duration) {
         let outcome = result.as_ref().map_or_else(|error| error.body.error, |_| "accepted");
-        let version = self.version.as_ref().map_or(0, |version| *version);
+        let version = self.version.as_ref().map_or_else(|_| claimed_version(&self.bytes), |version| *version);
         let took_ms = took.as_millis() as u64;
         let from = peer(conn);
         let Rejection { reason, field, current } = Rejection::of(result.as_ref().err());
@@ -167,6 +167,16 @@
     }
 }
 
+/// The version that a configuration claims to have, though it is invalid; 0 if it can't be read.
+fn claimed_version(bytes: &[u8]) -> u64 {
+    #[derive(Deserialize)]
+    struct Claim {
+        #[serde(rename = "Version")]
+        version: u64,
+    }
+    serde_json::from_slice::<Claim>(bytes).map_or(0, |claim| claim.version)
+}
+
 /// Logs a change that was rejected before it was known completely.
 fn log_rejection(conn: &Conn, error: &OperatorError) {
     let from = peer(conn);
--- a/crates/lugwharf/tests/outside_forms.rs
+++ b/crates/lugwharf/tests/outside_forms.rs
@@ -67,12 +67,12 @@
 }
 
 #[rstest]
-#[case::proxy(&["proxy"], "lugwharf: settings: /nonexistent/settings.toml: No such file or directory (os error 2): No such file or directory (os error 2)\n")]
-#[case::agent(&["agent"], "lugwharf: settings: /nonexistent/settings.toml: No such file or directory (os error 2): No such file or directory (os error 2)\n")]
-#[case::control(&["control"], "lugwharf: settings: /nonexistent/settings.toml: No such file or directory (os error 2): No such file or directory (os error 2)\n")]
+#[case::proxy(&["proxy"], "lugwharf: settings: /nonexistent/settings.toml: No such file or directory (os error 2)\n")]
+#[case::agent(&["agent"], "lugwharf: settings: /nonexistent/settings.toml: No such file or directory (os error 2)\n")]
+#[case::control(&["control"], "lugwharf: settings: /nonexistent/settings.toml: No such file or directory (os error 2)\n")]
 #[case::proxy_without_tuning(&["proxy", "--tuning", "/nonexistent/tuning.toml"], "lugwharf: tuning: /nonexistent/tuning.toml: No such file or directory (os error 2)\n")]
 #[case::check_config(&["check-config", "/nonexistent/file"], "lugwharf: /nonexistent/file: No such file or directory (os error 2)\n")]
-#[case::check_settings(&["check-settings", "/nonexistent/file"], "lugwharf: /nonexistent/file: No such file or directory (os error 2): No such file or directory (os error 2)\n")]
+#[case::check_settings(&["check-settings", "/nonexistent/file"], "lugwharf: /nonexistent/file: No such file or directory (os error 2)\n")]
 #[case::check_tuning(&["check-tuning", "/nonexistent/file"], "lugwharf: /nonexistent/file: No such file or directory (os error 2)\n")]
 fn a_missing_file_ends_with_status_1_and_this_line(#[case] arguments: &[&str], #[case] message: &str) {
     assert_ends(&run(arguments), 1, "FILE", message);
--- a/crates/lugwharf/tests/request_diagnostics.rs
+++ b/crates/lugwharf/tests/request_diagnostics.rs
@@ -31,7 +31,7 @@
 }
 
 /// The fields of a request's line, in order, as `docs/OPERATING.md` lists them.
-const KEYS: [&str; 14] = [
+const KEYS: [&str; 15] = [
     "outcome",
     "request_id",
     "status",
@@ -44,6 +44,7 @@
     "list_sequence",
     "live_proxies",
     "budget_denied",
+    "cause",
     "attempts",
     "omitted",
 ];
--- a/crates/lugwharf/tests/startup_and_status.rs
+++ b/crates/lugwharf/tests/startup_and_status.rs
@@ -168,7 +168,13 @@
         let shows = || async { fleet.cluster.logs().contains(&format!("{step} {hash}")) };
         assert!(poll(shows).await, "{step} {hash} is missing\n{}", fleet.cluster.logs());
     }
-    for step in ["outcome=pulled version=3 to=", "config version=3 "] {
-        assert!(poll(|| async { fleet.cluster.logs().contains(step) }).await, "{}", fleet.cluster.logs());
-    }
+    // The proxy's line has the same hash.
+    let at_the_proxy = |line: &str| line.contains("config version=3 routes=") && line.ends_with(&hash);
+    assert!(
+        poll(|| async { fleet.cluster.logs().lines().any(at_the_proxy) }).await,
+        "{}",
+        fleet.cluster.logs()
+    );
+    let step = "outcome=pulled version=3 to=";
+    assert!(poll(|| async { fleet.cluster.logs().contains(step) }).await, "{}", fleet.cluster.logs());
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -26,5 +26,6 @@
 pub use feed::{FeedMessage, ProxyReport};
 pub use frame::{FrameError, MAX_FRAME_BYTES, decode, encode, read_frame, write_frame};
 pub use table::{
-    ConfigRecord, FleetSummary, ModelEntry, ServerDelta, ServerEntry, ServerState, Stage, TablePosition,
+    ConfigHash, ConfigRecord, FleetSummary, ModelEntry, ServerDelta, ServerEntry, ServerState, Stage,
+    TablePosition,
 };
--- a/crates/protocol/src/table.rs
+++ b/crates/protocol/src/table.rs
@@ -2,6 +2,7 @@
 
 use crate::byte_string;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::SocketAddr;
 
 /// A committed configuration as the operator sent it.
@@ -14,6 +15,27 @@
     pub bytes: Vec<u8>,
 }
 
+impl ConfigRecord {
+    /// The hash of its bytes, by which a configuration is followed from process to process in the logs. Computed when it is
+    /// shown.
+    pub fn hash(&self) -> ConfigHash<'_> {
+        ConfigHash(&self.bytes)
+    }
+}
+
+/// Shows the first 128 bits of the BLAKE3 hash of a configuration in hex, as control processes log it too.
+pub struct ConfigHash<'a>(&'a [u8]);
+
+impl fmt::Display for ConfigHash<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let hash = blake3::hash(self.0);
+        let (shown, _) = hash.as_bytes().split_at(SHOWN_HASH_BYTES);
+        shown.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+const SHOWN_HASH_BYTES: usize = 16;
+
 /// The phase of generations that a model server does where prefill and decode are split.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Stage {
--- a/crates/proxy/src/outbound/mod.rs
+++ b/crates/proxy/src/outbound/mod.rs
@@ -22,5 +22,5 @@
 pub use error::ExchangeError;
 pub use exchange::{ExchangeTerms, exchange};
 pub use pool::ConnectionPool;
-pub use request::{AttemptHeaders, OutboundRequest};
+pub use request::{AttemptHeaders, MAX_PRIORITY, OutboundRequest};
 pub use response::{MAX_STRAY_BYTES, ServerResponse, discard_response};
--- a/crates/proxy/src/outbound/request.rs
+++ b/crates/proxy/src/outbound/request.rs
@@ -9,7 +9,7 @@
 /// Bodies up to this size, in bytes, are written together with the head.
 pub const INLINE_BODY: usize = 16 * 1024;
 /// The least urgent priority that servers accept.
-const MAX_PRIORITY: u8 = 9;
+pub const MAX_PRIORITY: u8 = 9;
 
 /// Fields that only the proxy may set: a client's own must not reach a server.
 const RESERVED_FIELDS: [&str; 6] =
--- a/crates/proxy/src/stack/disaggregated.rs
+++ b/crates/proxy/src/stack/disaggregated.rs
@@ -5,13 +5,14 @@
 //! prefills the prompt itself.
 
 use crate::inbound::error_response::RequestError;
-use crate::outbound::{AttemptHeaders, ServerResponse};
+use crate::outbound::{AttemptHeaders, MAX_PRIORITY, ServerResponse};
 use crate::stack::attempt::AttemptOutcome;
 use crate::stack::execution::{RequestExecution, ServerQuery};
 use crate::stack::forward::{AcceptedResponse, accept};
 use crate::stack::in_flight::InFlightAttempt;
 use crate::stack::kv_handle::KvHandle;
 use crate::stack::response_class::{ResponseClass, classify};
+use crate::telemetry::request_trace::SaturationCause;
 use lugwharf_invariants::{Invariant, check};
 use lugwharf_routing::{FailureKind, Phase, Selection, SelectionError, ServerKey};
 use serde::Deserialize;
@@ -28,8 +29,6 @@
 const MAX_PREFILL_ATTEMPTS: usize = 3;
 /// Each doubling of this many tokens lowers the priority of a prefill by one.
 const PRIORITY_TOKENS: u32 = 1_024;
-/// The least urgent priority that servers accept.
-const MAX_PRIORITY: u8 = 9;
 /// Decode servers that are tried with one KV handle.
 const MAX_DECODE_ATTEMPTS: u32 = 2;
 /// The longest KV handle, in bytes.
@@ -62,7 +61,7 @@
     let mut may_transfer = execution.state.balancer.borrow_mut().try_kv_transfer(now, service);
     loop {
         if !execution.attempts.may_execute() {
-            return Err(execution.final_error(RequestError::Saturated));
+            return Err(execution.saturated(SaturationCause::NoAttemptsLeft));
         }
         let needs_prefill_server = may_transfer || !may_prefill_on_decode_after_failure(execution);
         let handle = if needs_prefill_server { prefill(execution, headers).await? } else { None };
@@ -101,7 +100,7 @@
         Ok(selection) => selection,
         Err(SelectionError::NoServer) if attempted.is_empty() => return Ok(Some(Prefill::Skipped)),
         Err(SelectionError::NoServer) => return prefill_on_decode(execution).map(Some),
-        Err(SelectionError::Saturated) => return Err(execution.final_error(RequestError::Saturated)),
+        Err(SelectionError::Saturated) => return Err(execution.saturated(SaturationCause::NoCapacity)),
     };
     execution.shed_if_hopeless(&selection)?;
     if !execution.try_pay_delivery() {
@@ -132,7 +131,7 @@
 fn prefill_on_decode(execution: &RequestExecution<'_>) -> Result<Prefill, RequestError> {
     let max_tokens = execution.state.balancer.borrow().tuning().max_decode_prefill_tokens;
     if execution.terms.prompt.input_tokens > max_tokens && execution.attempts.is_unexecuted() {
-        return Err(execution.final_error(RequestError::Saturated));
+        return Err(execution.saturated(SaturationCause::NoPrefill));
     }
     Ok(Prefill::Skipped)
 }
@@ -263,7 +262,7 @@
     let selection = match execution.select(&query) {
         Ok(selection) => selection,
         Err(_) if may_drop_handle => return Ok(None),
-        Err(error) => return Err(execution.final_error(error.into())),
+        Err(error) => return Err(execution.selection_error(error)),
     };
     execution.admit(&selection)?;
     Ok(Some(selection))
--- a/crates/proxy/src/stack/execution.rs
+++ b/crates/proxy/src/stack/execution.rs
@@ -2,12 +2,12 @@
 
 use crate::inbound::error_response::RequestError;
 use crate::inbound::request::ClientRequest;
-use crate::outbound::{AttemptHeaders, OutboundRequest};
+use crate::outbound::{AttemptHeaders, MAX_PRIORITY, OutboundRequest};
 use crate::routes::Routes;
 use crate::stack::delivery_budget::DeliveryBudget;
 use crate::stack::terms::RequestTerms;
 use crate::state::ProxyState;
-use crate::telemetry::request_trace::RequestTrace;
+use crate::telemetry::request_trace::{RequestTrace, SaturationCause};
 use lugwharf_invariants::{Invariant, check};
 use lugwharf_routing::{Attempts, Phase, Selection, SelectionError, SelectionQuery, ServerKey};
 use std::rc::Rc;
@@ -16,8 +16,6 @@
 /// Attempts of one request that may end before anything is sent, since no connection was established or the server has just
 /// been removed from the endpoint list.
 const MAX_UNSENT_ATTEMPTS: u32 = 5;
-/// The least urgent priority that servers accept.
-const MAX_PRIORITY: u8 = 9;
 
 /// One request with all that its attempts need.
 pub struct RequestExecution<'a> {
@@ -120,7 +118,21 @@
         if self.attempts.may_execute() && self.may_attempt() {
             Ok(())
         } else {
-            Err(self.final_error(RequestError::Saturated))
+            Err(self.saturated(SaturationCause::NoAttemptsLeft))
+        }
+    }
+
+    /// The error of a request that gets no further attempt.
+    pub fn saturated(&self, cause: SaturationCause) -> RequestError {
+        self.trace.record_saturation(cause);
+        self.final_error(RequestError::Saturated)
+    }
+
+    /// The error of a request for which no server could be selected.
+    pub fn selection_error(&self, error: SelectionError) -> RequestError {
+        match error {
+            SelectionError::NoServer => self.final_error(RequestError::Unavailable),
+            SelectionError::Saturated => self.saturated(SaturationCause::NoCapacity),
         }
     }
 
@@ -128,7 +140,7 @@
     /// delivery.
     pub fn admit(&mut self, selection: &Selection) -> Result<(), RequestError> {
         self.shed_if_hopeless(selection)?;
-        if self.try_pay_delivery() { Ok(()) } else { Err(self.final_error(RequestError::Saturated)) }
+        if self.try_pay_delivery() { Ok(()) } else { Err(self.saturated(SaturationCause::NoBudget)) }
     }
 
     /// Load shedding: rejects a request that no server has executed, if the selected server is busy by its own report and the
@@ -136,7 +148,12 @@
     pub fn shed_if_hopeless(&self, selection: &Selection) -> Result<(), RequestError> {
         let may_shed = self.state.balancer.borrow().tuning().sheds_hopeless_requests;
         let is_hopeless = may_shed && selection.is_busy && selection.estimate > self.terms.time_left();
-        if is_hopeless && self.attempts.is_unexecuted() { Err(RequestError::Saturated) } else { Ok(()) }
+        if is_hopeless && self.attempts.is_unexecuted() {
+            self.trace.record_saturation(SaturationCause::Hopeless);
+            Err(RequestError::Saturated)
+        } else {
+            Ok(())
+        }
     }
 
     /// Pays for the next delivery from the retry budget, if it is not the first. Returns whether it may be sent.
@@ -198,12 +215,3 @@
         self.terms.time_left()
     }
 }
-
-impl From<SelectionError> for RequestError {
-    fn from(error: SelectionError) -> RequestError {
-        match error {
-            SelectionError::NoServer => RequestError::Unavailable,
-            SelectionError::Saturated => RequestError::Saturated,
-        }
-    }
-}
--- a/crates/proxy/src/stack/forward.rs
+++ b/crates/proxy/src/stack/forward.rs
@@ -6,6 +6,7 @@
 use crate::stack::execution::{RequestExecution, ServerQuery};
 use crate::stack::in_flight::InFlightAttempt;
 use crate::stack::response_class::{ResponseClass, classify};
+use crate::telemetry::request_trace::SaturationCause;
 use lugwharf_routing::{FailureKind, LoadReport, Phase, Selection};
 use std::time::Duration;
 
@@ -42,8 +43,11 @@
     let query = ServerQuery { phase: Phase::Full, zone: &execution.state.zone, excluded };
     let selection = execution.select(&query).map_err(|error| {
         // If there were servers and all of them rejected the request, they are saturated.
-        let was_attempted = execution.attempts.was_attempted();
-        execution.final_error(if was_attempted { RequestError::Saturated } else { error.into() })
+        if execution.attempts.was_attempted() {
+            execution.saturated(SaturationCause::NoServerLeft)
+        } else {
+            execution.selection_error(error)
+        }
     })?;
     execution.admit(&selection)?;
     Ok(selection)
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -159,7 +159,14 @@
             && record.version > self.versions().config
         {
             match Configuration::parse_unchecked(&record.bytes) {
-                Ok(configuration) => self.set_configuration(configuration),
+                Ok(configuration) => {
+                    let (version, hash) = (configuration.version, record.hash());
+                    spdlog::info!(
+                        "config version={version} routes={} hash={hash}",
+                        configuration.routes.len()
+                    );
+                    self.set_configuration(configuration);
+                }
                 Err(error) => {
                     spdlog::error!("config version={} outcome=unreadable error={error}", record.version)
                 }
@@ -170,7 +177,6 @@
     fn set_configuration(&self, configuration: Configuration) {
         let (before, version) = (self.versions().config, configuration.version);
         check(Invariant::ProxyVersionClimbs, version > before, || format!("{version} after {before}"));
-        spdlog::info!("config version={} routes={}", configuration.version, configuration.routes.len());
         self.balancer.borrow_mut().retain_services(|name| configuration.service(name).is_some());
         *self.limits.borrow_mut() = configuration.limits.clone();
         *self.routes.borrow_mut() = Some(Rc::new(Routes::new(configuration, || self.random_fraction())));
--- a/crates/proxy/src/telemetry/request_trace.rs
+++ b/crates/proxy/src/telemetry/request_trace.rs
@@ -77,12 +77,45 @@
     versions: VersionVector,
 }
 
+/// Why a request is rejected as [`RequestError::Saturated`](crate::inbound::error_response::RequestError::Saturated).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SaturationCause {
+    /// It has had all attempts that its route allows, or its time for them is over.
+    NoAttemptsLeft,
+    /// The retry budget allows no further delivery.
+    NoBudget,
+    /// The selected server is busy, and the response would come too late.
+    Hopeless,
+    /// All servers that could serve it are at their limits.
+    NoCapacity,
+    /// Servers rejected it or could not be reached, and none is left to try.
+    NoServerLeft,
+    /// No prefill server read its prompt, which is too long for a decode server.
+    NoPrefill,
+}
+
+impl SaturationCause {
+    /// The name in logs.
+    fn name(self) -> &'static str {
+        match self {
+            SaturationCause::NoAttemptsLeft => "no_attempts_left",
+            SaturationCause::NoBudget => "no_budget",
+            SaturationCause::Hopeless => "hopeless",
+            SaturationCause::NoCapacity => "no_capacity",
+            SaturationCause::NoServerLeft => "no_server_left",
+            SaturationCause::NoPrefill => "no_prefill",
+        }
+    }
+}
+
 /// The trace of one request.
 #[derive(Debug, Default)]
 pub struct RequestTrace {
     context: RefCell<Option<RoutingContext>>,
     attempts: RefCell<Vec<AttemptTrace>>,
     was_budget_denied: Cell<bool>,
+    /// Why the request got no further attempt, or none.
+    saturation: Cell<Option<SaturationCause>>,
     /// The status of the response to the client, once it was started.
     status: Cell<Option<u16>>,
     is_finished: Cell<bool>,
@@ -144,6 +177,11 @@
         increment(&metrics.budget_denials);
     }
 
+    /// Records why the request is rejected as saturated.
+    pub fn record_saturation(&self, cause: SaturationCause) {
+        self.saturation.set(Some(cause));
+    }
+
     /// Records the status of the response that is started.
     pub fn record_status(&self, status: u16) {
         self.status.set(Some(status));
@@ -190,6 +228,7 @@
             elapsed_ms = millis(request.arrived.elapsed()), client_timeout_ms, config_version = versions.config,
             list_epoch = versions.servers.epoch, list_sequence = versions.servers.sequence,
             live_proxies = versions.live_proxies, budget_denied = self.was_budget_denied.get(),
+            cause = self.saturation.get().map_or("-", SaturationCause::name),
             attempts = attempts.as_str(), omitted
         });
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -25,12 +25,12 @@
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
     /// The file could not be read.
-    #[error("{path}: {source}")]
+    #[error("{path}: {cause}")]
     Unreadable {
         /// The file.
         path: PathBuf,
-        /// The error of the file system.
-        source: std::io::Error,
+        /// The error of the file system. It is a part of the text and no source, or reports of the chain would say it twice.
+        cause: std::io::Error,
     },
     /// The text is not TOML, or a key has the wrong type or is missing. The message of the parser, on one line.
     #[error("{0}")]
@@ -190,7 +190,7 @@
     /// Reads, parses and checks the file at `path`.
     pub fn read(path: &Path) -> Result<Settings, SettingsError> {
         let text = std::fs::read_to_string(path)
-            .map_err(|source| SettingsError::Unreadable { path: path.to_owned(), source })?;
+            .map_err(|cause| SettingsError::Unreadable { path: path.to_owned(), cause })?;
         let settings = Settings::parse(&text)?;
         Ok(Settings { source: Some(path.to_owned()), ..settings })
     }
