--- a/crates/chain/tests/simulation/cases/fault_cases.rs
+++ b/crates/chain/tests/simulation/cases/fault_cases.rs
@@ -287,3 +287,42 @@
     cluster.run_round(FaultSchedule { faults, ..FaultSchedule::default() }).unwrap();
     assert!(cluster.newest_view < 14, "{} views", cluster.newest_view);
 }
+
+/// A quota of processor time: each process runs for 40 ms of each 100 ms, all of them out of step. That is no pause, no silence and
+/// no slow disk: the view stays, and each change is acknowledged.
+#[rstest]
+#[case::three(Scenario::three_nodes())]
+#[case::five(Scenario::five_nodes())]
+fn processes_under_a_quota_keep_their_view_and_acknowledge_changes(#[case] scenario: Scenario) {
+    const STEP: Duration = Duration::from_millis(20);
+    const STEPS_PER_PERIOD: usize = 5;
+    const RUNNING_STEPS: usize = 2;
+    for seed in 0..10 {
+        let mut cluster = bootstrapped_cluster(seed, scenario.clone());
+        let nodes: Vec<usize> = (0..scenario.node_count).collect();
+        let (view, end) = (cluster.newest_view, cluster.now + 20 * SECOND);
+        let mut step = 0;
+        while cluster.now < end {
+            for node in &nodes {
+                let is_running = (step + node) % STEPS_PER_PERIOD < RUNNING_STEPS;
+                let fault =
+                    if is_running { Fault::Resume { node: *node } } else { Fault::Pause { node: *node } };
+                cluster.inject(fault);
+            }
+            if step % 50 == 0 {
+                let request = cluster.draw_valid_submission();
+                cluster.start_call(0, request, None);
+            }
+            cluster.run_for(STEP).unwrap();
+            step += 1;
+        }
+        nodes.iter().for_each(|node| cluster.inject(Fault::Resume { node: *node }));
+        assert_eq!(cluster.newest_view, view, "seed {seed}");
+        assert!(
+            cluster.checker.acknowledged_count > 15,
+            "seed {seed}: {}",
+            cluster.checker.acknowledged_count
+        );
+        commit_change(&mut cluster);
+    }
+}
--- a/crates/election/tests/simulation/main.rs
+++ b/crates/election/tests/simulation/main.rs
@@ -164,3 +164,29 @@
         assert_eq!(world.holder(), Some(held), "seed {seed}");
     }
 }
+
+/// A quota of processor time: each process runs for 40 ms of each 100 ms, all of them out of step. The holder stays the holder.
+#[rstest]
+#[case::three(3)]
+#[case::five(5)]
+fn holder_keeps_its_lease_under_a_quota(#[case] members: usize) {
+    const STEP: Duration = Duration::from_millis(20);
+    const STEPS_PER_PERIOD: usize = 5;
+    const RUNNING_STEPS: usize = 2;
+    for seed in seeds().take(60) {
+        let mut world = World::new(seed, members, 0);
+        world.run_for(SETTLE_TIME);
+        let held = world.holder().unwrap_or_else(|| panic!("seed {seed}: nobody holds the role"));
+        for step in 0..500 {
+            for process in 0..members {
+                if (step + process) % STEPS_PER_PERIOD < RUNNING_STEPS {
+                    world.resume(process);
+                } else {
+                    world.pause(process);
+                }
+            }
+            world.run_for(STEP);
+            assert_eq!(world.holder(), Some(held), "seed {seed}, step {step}");
+        }
+    }
+}
