Carry fencing tokens as FencingToken through the tasks of control

Cause: a token was a bare u64 from the lease to the wire of an order, beside epochs, ids and revisions of the same type.

Change: HeldLease, LeaseWatch, orders, reports and commands carry the type of the election; the server table keeps its epoch as it is encoded.

Measured: captured bytes of orders unchanged, all tests of control pass.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -8,6 +8,7 @@
 use crate::shutdown::ShutdownOutcome;
 use crate::status::Status;
 use lugwharf_chain::Blake3;
+use lugwharf_election::FencingToken;
 use lugwharf_protocol::{AgentRequest, ServerEntry};
 use lugwharf_settings::Settings;
 use lugwharf_stages::{OrderOutcome, StageReport};
@@ -71,7 +72,7 @@
     /// The list watcher has read the platform's list.
     ListRead {
         /// The fencing token under which it was read; the epoch of the server list.
-        epoch: u64,
+        token: FencingToken,
         /// The complete list.
         entries: Vec<ServerEntry>,
     },
@@ -88,7 +89,7 @@
     /// The list watcher could not read the platform's list.
     ListReadFailed {
         /// The fencing token under which it tried.
-        epoch: u64,
+        token: FencingToken,
         /// Whether the platform has been unreachable for so long that another process should try.
         should_step_down: bool,
     },
@@ -97,7 +98,7 @@
         /// The server's id, which is new with each incarnation.
         id: String,
         /// The fencing token under which it was sent.
-        token: u64,
+        token: FencingToken,
         /// How it ended.
         outcome: OrderOutcome,
     },
@@ -106,7 +107,7 @@
         /// The server's id.
         id: String,
         /// The fencing token under which it was asked.
-        token: u64,
+        token: FencingToken,
         /// The report.
         report: StageReport,
     },
--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -176,11 +176,11 @@
             }
             Command::Status { reply } => send_reply(reply, self.status()),
             Command::Metrics { reply } => send_reply(reply, self.metrics_text()),
-            Command::ListRead { epoch, entries } => self.list_read(epoch, entries),
+            Command::ListRead { token, entries } => self.list_read(token, entries),
             Command::NeedsInitialList { reply } => send_reply(reply, self.needs_initial_list()),
             Command::InitialListRead { entries } => self.initial_list_read(entries),
-            Command::ListReadFailed { epoch, should_step_down } => {
-                self.list_read_failed(epoch, should_step_down);
+            Command::ListReadFailed { token, should_step_down } => {
+                self.list_read_failed(token, should_step_down);
             }
             Command::OrderCompleted { id, token, outcome } => self.order_completed(&id, token, outcome),
             Command::ServerReported { id, token, report } => self.server_reported(&id, token, report),
--- a/crates/control/src/controller/list_watcher_role.rs
+++ b/crates/control/src/controller/list_watcher_role.rs
@@ -8,7 +8,7 @@
 use crate::message::PeerMessage;
 use crate::record_owner::RecordOwner;
 use crate::status::RoleStatus;
-use lugwharf_election::{self as election, LeaseHolder};
+use lugwharf_election::{self as election, FencingToken, LeaseHolder};
 use spdlog::prelude::*;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -98,11 +98,11 @@
     /// The lease, if this process holds it now.
     pub(super) fn held_lease(&self) -> Option<HeldLease> {
         let lease = self.elector.held_lease(self.now())?;
-        Some(HeldLease { token: lease.token.0, expires_at: self.started_at + lease.expires_at })
+        Some(HeldLease { token: lease.token, expires_at: self.started_at + lease.expires_at })
     }
 
     /// Whether this process holds the lease now, under this token.
-    pub(super) fn holds_lease(&self, token: u64) -> bool {
-        self.elector.held_lease(self.now()).is_some_and(|lease| lease.token.0 == token)
+    pub(super) fn holds_lease(&self, token: FencingToken) -> bool {
+        self.elector.held_lease(self.now()).is_some_and(|lease| lease.token == token)
     }
 }
--- a/crates/control/src/controller/list_watcher_role_tests.rs
+++ b/crates/control/src/controller/list_watcher_role_tests.rs
@@ -15,9 +15,9 @@
 fn workers_are_woken_by_a_new_lease_and_its_loss_but_not_by_a_renewal() {
     let (role, mut lease) = ListWatcherRole::new();
     let now = Instant::now();
-    let first = HeldLease { token: 7, expires_at: now };
-    let renewed = HeldLease { token: 7, expires_at: now + Duration::from_secs(1) };
-    let next = HeldLease { token: 8, ..renewed };
+    let first = HeldLease { token: FencingToken(7), expires_at: now };
+    let renewed = HeldLease { token: FencingToken(7), expires_at: now + Duration::from_secs(1) };
+    let next = HeldLease { token: FencingToken(8), ..renewed };
     let mut is_woken_by = |published| {
         role.publish(published);
         let is_woken = lease.has_changed().expect("a sender");
--- a/crates/control/src/controller/server_list.rs
+++ b/crates/control/src/controller/server_list.rs
@@ -7,7 +7,7 @@
 use crate::lease::ROLE_NAME;
 use crate::message::{PeerMessage, TablesMessage};
 use lugwharf_distribution::PROVISIONAL_EPOCH;
-use lugwharf_election as election;
+use lugwharf_election::{self as election, FencingToken};
 use lugwharf_protocol::{ServerEntry, TablePosition, Update, VersionVector};
 use spdlog::prelude::*;
 use std::time::Duration;
@@ -32,17 +32,17 @@
     }
 
     /// Applies a list that was read under the lease with the token `epoch`, and sends it to agents and peers.
-    pub(super) fn list_read(&mut self, epoch: u64, mut entries: Vec<ServerEntry>) {
-        if !self.holds_lease(epoch) {
+    pub(super) fn list_read(&mut self, token: FencingToken, mut entries: Vec<ServerEntry>) {
+        if !self.holds_lease(token) {
             return;
         }
         self.metrics.list_reads.inc();
         self.platform_reachability.record_success();
         let now = self.now();
-        self.stage_planning.request_reports(now, &entries, epoch);
+        self.stage_planning.request_reports(now, &entries, token);
         self.stage_planning.plan(now, &mut entries, &self.fleet_load);
         let before = self.tables.vector();
-        match self.tables.servers_mut().replace(epoch, entries) {
+        match self.tables.servers_mut().replace(token.0, entries) {
             Ok(true) => {
                 self.serve_pulls();
                 let audience = self.audience(now);
@@ -57,19 +57,19 @@
     }
 
     /// The list could not be read. If that lasts, this process steps down, provided that a peer may reach the platform.
-    pub(super) fn list_read_failed(&mut self, epoch: u64, should_step_down: bool) {
+    pub(super) fn list_read_failed(&mut self, token: FencingToken, should_step_down: bool) {
         self.metrics.list_failures.inc();
         let now = self.now();
-        if !should_step_down || !self.holds_lease(epoch) {
+        if !should_step_down || !self.holds_lease(token) {
             return;
         }
         let mut peers = self.replica.status().members;
         peers.retain(|member| *member != self.local_address);
         if !self.platform_reachability.any_peer_may_reach(now, &peers) {
-            debug!("lease", kv: { role = ROLE_NAME, outcome = "retained", token = epoch });
+            debug!("lease", kv: { role = ROLE_NAME, outcome = "retained", token = token.0 });
             return;
         }
-        warn!("lease", kv: { role = ROLE_NAME, outcome = "stepped_down", reason = "platform", token = epoch });
+        warn!("lease", kv: { role = ROLE_NAME, outcome = "stepped_down", reason = "platform", token = token.0 });
         self.metrics.stand_downs.inc();
         self.platform_reachability.record_failure(now);
         // Before the lease is vacant, so that it does not come back here before all others have tried.
--- a/crates/control/src/controller/stage_planning.rs
+++ b/crates/control/src/controller/stage_planning.rs
@@ -76,7 +76,7 @@
     }
 
     /// Has servers of a list asked for their reports, under the lease with this fencing token.
-    pub fn request_reports(&mut self, now: Duration, entries: &[ServerEntry], token: u64) {
+    pub fn request_reports(&mut self, now: Duration, entries: &[ServerEntry], token: FencingToken) {
         if !self.tuning.orders {
             return;
         }
@@ -124,9 +124,9 @@
     }
 
     /// Queues the orders that are due, under the lease with this fencing token.
-    pub fn send_due(&mut self, now: Duration, node: &str, token: u64) {
+    pub fn send_due(&mut self, now: Duration, node: &str, token: FencingToken) {
         for order in self.planner.due_orders(now) {
-            info!("order", kv: { outcome = "sent", id = order.id.as_str(), stage:? = order.stage, token });
+            info!("order", kv: { outcome = "sent", id = order.id.as_str(), stage:? = order.stage, token = token.0 });
             self.enqueue(now, AuthorizedOrder { order, holder: node.to_owned(), token });
         }
     }
@@ -153,8 +153,8 @@
     }
 
     /// Records that a server rejected a fencing token of this process; returns whether it gets no more orders for a while.
-    pub fn record_stale_token(&mut self, now: Duration, id: &str, token: u64) -> bool {
-        self.planner.record_stale_token(now, id, token)
+    pub fn record_stale_token(&mut self, now: Duration, id: &str, token: FencingToken) -> bool {
+        self.planner.record_stale_token(now, id, token.0)
     }
 
     /// Ids of these servers that have been ordered to change their stage, or are about to be.
@@ -176,9 +176,9 @@
     }
 
     /// An order under the lease with this fencing token has ended. What an earlier lease began changes nothing in this one.
-    pub(super) fn order_completed(&mut self, id: &str, token: u64, outcome: OrderOutcome) {
+    pub(super) fn order_completed(&mut self, id: &str, token: FencingToken, outcome: OrderOutcome) {
         let now = self.now();
-        info!("order", kv: { outcome = order_outcome_name(outcome), id, token });
+        info!("order", kv: { outcome = order_outcome_name(outcome), id, token = token.0 });
         self.metrics.record_order(outcome);
         if self.holds_lease(token) {
             let service = self.tables.servers().get(id).map(|entry| entry.service.as_str());
@@ -190,7 +190,7 @@
     }
 
     /// A server has reported its stage, to the holder of the lease with this fencing token.
-    pub(super) fn server_reported(&mut self, id: &str, token: u64, report: StageReport) {
+    pub(super) fn server_reported(&mut self, id: &str, token: FencingToken, report: StageReport) {
         let now = self.now();
         if !self.holds_lease(token) {
             return;
@@ -202,15 +202,15 @@
     }
 
     /// A server has seen a higher fencing token than this one: nothing more is done under it, also no read of the list.
-    fn token_refused(&mut self, now: Duration, id: &str, token: u64) {
+    fn token_refused(&mut self, now: Duration, id: &str, token: FencingToken) {
         if self.stage_planning.record_stale_token(now, id, token) {
-            warn!("order", kv: { outcome = "suspended", id, token });
+            warn!("order", kv: { outcome = "suspended", id, token = token.0 });
             self.metrics.suspensions.inc();
         }
         if self.holds_lease(token) {
-            warn!("lease", kv: { role = ROLE_NAME, outcome = "stepped_down", reason = "stale_token", token });
+            warn!("lease", kv: { role = ROLE_NAME, outcome = "stepped_down", reason = "stale_token", token = token.0 });
             self.metrics.stand_downs.inc();
         }
-        self.handle_elector_event(election::Event::TokenRefused { token: FencingToken(token) });
+        self.handle_elector_event(election::Event::TokenRefused { token });
     }
 }
--- a/crates/control/src/controller/stage_planning_tests.rs
+++ b/crates/control/src/controller/stage_planning_tests.rs
@@ -5,6 +5,7 @@
 use crate::orders::AuthorizedOrder;
 use crate::server_reports::ReportRequest;
 use crate::status_tests::server;
+use lugwharf_election::FencingToken;
 use lugwharf_protocol::{ServerEntry, ServerState, Stage};
 use lugwharf_stages::{OrderOutcome, StageReport, StageTuning};
 use std::collections::BTreeSet;
@@ -18,7 +19,7 @@
 /// After the announcement has reached all proxies (300 ms).
 const DUE_AT: Duration = Duration::from_secs(5);
 /// The fencing token of the lease.
-const TOKEN: u64 = 7;
+const TOKEN: FencingToken = FencingToken(7);
 
 fn planning(tuning: StageTuning) -> (StagePlanning, Receiver<AuthorizedOrder>) {
     let (planning, orders, _) = planning_with_reports(tuning);
--- a/crates/control/src/controller_tests.rs
+++ b/crates/control/src/controller_tests.rs
@@ -6,6 +6,7 @@
 use crate::metrics::RejectionCounters;
 use crate::shutdown::ShutdownOutcome;
 use crate::status_tests::server;
+use lugwharf_election::FencingToken;
 use lugwharf_protocol::{
     AgentRequest, ControlReply, ServerEntry, ServerState, Update, VersionVector, decode,
 };
@@ -121,7 +122,7 @@
 }
 
 /// Steps until this process, alone in its core, holds the lease; returns its fencing token.
-async fn acquire_lease(controller: &mut Controller, queue: &mut Receiver<Command>) -> u64 {
+async fn acquire_lease(controller: &mut Controller, queue: &mut Receiver<Command>) -> FencingToken {
     for _ in 0..MAX_STEPS {
         if let Some(lease) = controller.held_lease() {
             return lease.token;
@@ -143,15 +144,15 @@
 async fn list_is_applied_only_under_the_token_of_the_held_lease() {
     let directory = folder("list");
     let (mut controller, _commands, mut queue) = start(&directory);
-    controller.handle(Command::ListRead { epoch: 1, entries: list("without-lease") });
+    controller.handle(Command::ListRead { token: FencingToken(1), entries: list("without-lease") });
     assert!(server_ids(&controller).is_empty());
     bootstrap(&mut controller, &mut queue).await;
     let token = acquire_lease(&mut controller, &mut queue).await;
-    controller.handle(Command::ListRead { epoch: token - 1, entries: list("older-token") });
+    controller.handle(Command::ListRead { token: FencingToken(token.0 - 1), entries: list("older-token") });
     assert!(server_ids(&controller).is_empty());
-    controller.handle(Command::ListRead { epoch: token, entries: list("current") });
+    controller.handle(Command::ListRead { token, entries: list("current") });
     assert_eq!(server_ids(&controller), ["current"]);
-    assert_eq!(controller.tables.servers().position().epoch, token);
+    assert_eq!(controller.tables.servers().position().epoch, token.0);
     drop(std::fs::remove_dir_all(directory));
 }
 
@@ -166,7 +167,7 @@
     assert_eq!(server_ids(&controller), ["first"]);
     bootstrap(&mut controller, &mut queue).await;
     let token = acquire_lease(&mut controller, &mut queue).await;
-    controller.handle(Command::ListRead { epoch: token, entries: list("holder") });
+    controller.handle(Command::ListRead { token, entries: list("holder") });
     assert_eq!(server_ids(&controller), ["holder"]);
     drop(std::fs::remove_dir_all(directory));
 }
@@ -176,9 +177,9 @@
     let directory = folder("retained");
     let (mut controller, _commands, mut queue) = start(&directory);
     bootstrap(&mut controller, &mut queue).await;
-    let epoch = acquire_lease(&mut controller, &mut queue).await;
-    controller.handle(Command::ListReadFailed { epoch, should_step_down: true });
-    assert_eq!(controller.held_lease().map(|lease| lease.token), Some(epoch));
+    let token = acquire_lease(&mut controller, &mut queue).await;
+    controller.handle(Command::ListReadFailed { token, should_step_down: true });
+    assert_eq!(controller.held_lease().map(|lease| lease.token), Some(token));
     assert_eq!((controller.metrics.list_failures.get(), controller.metrics.stand_downs.get()), (1, 0));
     drop(std::fs::remove_dir_all(directory));
 }
@@ -197,12 +198,12 @@
         outcome: OrderOutcome::StaleToken,
     };
     let refused = |token| refused_by("i-1", token);
-    controller.handle(refused_by("i-0", token - 1));
+    controller.handle(refused_by("i-0", FencingToken(token.0 - 1)));
     assert_eq!(controller.held_lease().map(|lease| lease.token), Some(token), "that was an earlier lease");
     controller.handle(refused(token));
     assert_eq!(controller.held_lease(), None);
     assert_eq!(controller.list_watcher_role.published(), None, "tasks may act under it no more");
-    controller.handle(Command::ListRead { epoch: token, entries: list("late") });
+    controller.handle(Command::ListRead { token, entries: list("late") });
     assert!(server_ids(&controller).is_empty());
     let next = acquire_lease(&mut controller, &mut queue).await;
     assert!(next > token);
--- a/crates/control/src/http_bytes_tests.rs
+++ b/crates/control/src/http_bytes_tests.rs
@@ -14,6 +14,7 @@
 use crate::status::{AgentStatus, RoleStatus, ServiceStatus, Status};
 use crate::status_tests::example;
 use lugwharf_chain::{CommittedConfig, OperatorResponse};
+use lugwharf_election::FencingToken;
 use lugwharf_protocol::Stage;
 use lugwharf_stages::{Order, OrderOutcome};
 use rstest::rstest;
@@ -295,11 +296,14 @@
     let server = tokio::spawn(receive(listener, b"}", answer));
     let (calls, queue) = mpsc::channel(1);
     let (commands, mut done) = mpsc::channel(1);
-    let lease = HeldLease { token: 7, expires_at: Instant::now() + Duration::from_secs(60) };
+    let lease = HeldLease { token: FencingToken(7), expires_at: Instant::now() + Duration::from_secs(60) };
     let (_role, lease) = watch::channel(Some(lease));
     tokio::spawn(orders::run(queue, LeaseWatch::new(lease), commands));
     let order = Order { id: "i-1".to_owned(), address, stage, if_revision };
-    calls.send(AuthorizedOrder { order, holder: "core-1".to_owned(), token: 7 }).await.expect("a queue");
+    calls
+        .send(AuthorizedOrder { order, holder: "core-1".to_owned(), token: FencingToken(7) })
+        .await
+        .expect("a queue");
     assert_eq!(server.await.expect("a request"), wanted);
     let ended = done.recv().await;
     assert!(matches!(ended, Some(Command::OrderCompleted { outcome: OrderOutcome::Accepted, .. })));
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -4,6 +4,7 @@
 //! right before each act: after a pause of the process it may run before the controller has noticed that the lease is over, and
 //! a lease that was given up ends before its time.
 
+use lugwharf_election::FencingToken;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
@@ -14,7 +15,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeldLease {
     /// The fencing token of the lease. It rises with each new lease of the role.
-    pub token: u64,
+    pub token: FencingToken,
     /// When the lease ends unless it is renewed. The margin for clock drift is subtracted already.
     pub expires_at: Instant,
 }
@@ -37,7 +38,7 @@
     }
 
     /// The token of the lease, if there is one; the next [`LeaseWatch::changed`] tells of a later one.
-    pub fn current_token(&mut self) -> Option<u64> {
+    pub fn current_token(&mut self) -> Option<FencingToken> {
         self.0.borrow_and_update().map(|lease| lease.token)
     }
 
@@ -47,12 +48,12 @@
     }
 
     /// Whether the lease under this token is held at this moment.
-    pub fn holds(&self, token: u64) -> bool {
+    pub fn holds(&self, token: FencingToken) -> bool {
         self.0.borrow().is_some_and(|lease| lease.token == token && lease.is_valid(Instant::now()))
     }
 
     /// Waits until the lease under this token is held no more: it was given up, or has ended without a renewal.
-    pub async fn lost(mut self, token: u64) {
+    pub async fn lost(mut self, token: FencingToken) {
         loop {
             let lease = *self.0.borrow_and_update();
             let Some(lease) = lease.filter(|lease| lease.token == token && lease.is_valid(Instant::now()))
--- a/crates/control/src/leased_call.rs
+++ b/crates/control/src/leased_call.rs
@@ -10,6 +10,7 @@
 use hyper::client::conn::http1::handshake;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use lugwharf_election::FencingToken;
 use lugwharf_invariants::{Invariant, check};
 use socket2::SockRef;
 use std::net::SocketAddr;
@@ -82,7 +83,7 @@
 /// # Errors
 /// The lease is over, or the call failed.
 pub async fn call(
-    address: SocketAddr, request: Request<Full<Bytes>>, lease: &LeaseWatch, token: u64,
+    address: SocketAddr, request: Request<Full<Bytes>>, lease: &LeaseWatch, token: FencingToken,
 ) -> Result<CallResponse, CallError> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
@@ -91,7 +92,7 @@
     if !lease.holds(token) {
         return Err(CallError::LeaseEnded);
     }
-    check(Invariant::OrderUnderLease, lease.holds(token), || format!("token {token}"));
+    check(Invariant::OrderUnderLease, lease.holds(token), || format!("token {}", token.0));
     let exchange = sender.send_request(request);
     // An error of the connection ends the exchange with it.
     let connection = ConnectionTask(tokio::spawn(async move { drop(connection.await) }));
--- a/crates/control/src/list_watcher.rs
+++ b/crates/control/src/list_watcher.rs
@@ -7,6 +7,7 @@
 use crate::command::{Command, notify};
 use crate::lease::LeaseWatch;
 use crate::platform_client::{PlatformClient, PlatformError};
+use lugwharf_election::FencingToken;
 use lugwharf_settings::Cloud;
 use spdlog::prelude::*;
 use std::time::Duration;
@@ -63,7 +64,8 @@
 
 /// Reads under one token until it is lost. `None` if the process is ending.
 async fn watch_under_lease(
-    client: &mut PlatformClient, token: u64, lease: &mut LeaseWatch, commands: &mpsc::Sender<Command>,
+    client: &mut PlatformClient, token: FencingToken, lease: &mut LeaseWatch,
+    commands: &mpsc::Sender<Command>,
 ) -> Option<()> {
     let mut failures = 0;
     let mut outage = PlatformOutage::default();
@@ -78,7 +80,7 @@
             Ok(entries) => {
                 failures = 0;
                 outage.record_response();
-                commands.send(Command::ListRead { epoch: token, entries }).await.ok()?;
+                commands.send(Command::ListRead { token, entries }).await.ok()?;
                 READ_INTERVAL
             }
             // The controller finds this too, at its next event.
@@ -87,7 +89,7 @@
                 failures += 1;
                 log_failure(&error, failures);
                 let should_step_down = outage.record_failure(started_at, Instant::now(), &error);
-                commands.send(Command::ListReadFailed { epoch: token, should_step_down }).await.ok()?;
+                commands.send(Command::ListReadFailed { token, should_step_down }).await.ok()?;
                 READ_RETRY_DELAY
             }
         };
--- a/crates/control/src/list_watcher_tests.rs
+++ b/crates/control/src/list_watcher_tests.rs
@@ -4,6 +4,7 @@
 use crate::list_watcher::{PlatformOutage, run};
 use crate::platform_client::PlatformError;
 use hyper::StatusCode;
+use lugwharf_election::FencingToken;
 use lugwharf_settings::Cloud;
 use rstest::rstest;
 use std::time::Duration;
@@ -56,7 +57,8 @@
 async fn page_is_requested_only_under_a_valid_lease(#[case] left: Duration, #[case] asks: bool) {
     let platform = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = platform.local_addr().expect("bound");
-    let (_role, holding) = watch::channel(Some(HeldLease { token: 7, expires_at: Instant::now() + left }));
+    let (_role, holding) =
+        watch::channel(Some(HeldLease { token: FencingToken(7), expires_at: Instant::now() + left }));
     let (commands, _queue) = mpsc::channel(1);
     tokio::spawn(run(Cloud { address, rate_per_s: 1.0, lag_ms: 0 }, LeaseWatch::new(holding), commands));
     let (mut stream, _) = platform.accept().await.expect("a connection");
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
+use lugwharf_election::FencingToken;
 use lugwharf_protocol::Stage;
 use lugwharf_stages::{Order, OrderOutcome};
 use serde::Serialize;
@@ -35,7 +36,7 @@
     /// The node name of the lease holder.
     pub holder: String,
     /// The fencing token of the lease; nothing is sent once that lease is over.
-    pub token: u64,
+    pub token: FencingToken,
 }
 
 /// The body of `POST /order`. Encoded names are fixed; see docs/GLOSSARY.md.
@@ -45,7 +46,7 @@
     op: &'static str,
     stage: &'static str,
     holder: &'a str,
-    fence: u64,
+    fence: FencingToken,
     #[serde(skip_serializing_if = "Option::is_none")]
     if_revision: Option<u64>,
 }
@@ -70,7 +71,7 @@
     match timeout(RESPONSE_TIMEOUT, send(authorized, lease)).await {
         Ok(Ok(status)) => classify_response(status),
         Ok(Err(CallError::LeaseEnded)) => {
-            warn!("order", kv: { outcome = "withheld", id, token = authorized.token });
+            warn!("order", kv: { outcome = "withheld", id, token = authorized.token.0 });
             OrderOutcome::Rejected
         }
         Ok(Err(error)) => {
--- a/crates/control/src/orders_tests.rs
+++ b/crates/control/src/orders_tests.rs
@@ -3,6 +3,7 @@
 use super::{AuthorizedOrder, run};
 use crate::command::Command;
 use crate::lease::{HeldLease, LeaseWatch};
+use lugwharf_election::FencingToken;
 use lugwharf_protocol::Stage;
 use lugwharf_stages::{Order, OrderOutcome};
 use rstest::rstest;
@@ -17,7 +18,7 @@
 const LONG: Duration = Duration::from_secs(600);
 
 /// The fencing token of the orders.
-const TOKEN: u64 = 7;
+const TOKEN: FencingToken = FencingToken(7);
 
 fn lease_until(expires_at: Instant) -> Option<HeldLease> {
     Some(HeldLease { token: TOKEN, expires_at })
@@ -121,7 +122,7 @@
 /// The order was queued under a lease that would run for long, and was given up before its turn.
 #[rstest]
 #[case::nobody(None)]
-#[case::a_later_token(Some(HeldLease { token: TOKEN + 1, expires_at: Instant::now() + LONG }))]
+#[case::a_later_token(Some(HeldLease { token: FencingToken(TOKEN.0 + 1), expires_at: Instant::now() + LONG }))]
 #[tokio::test]
 async fn queued_order_is_withheld_once_the_lease_was_given_up(#[case] lease: Option<HeldLease>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
--- a/crates/control/src/server_reports.rs
+++ b/crates/control/src/server_reports.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
+use lugwharf_election::FencingToken;
 use lugwharf_protocol::Stage;
 use lugwharf_stages::StageReport;
 use serde::Deserialize;
@@ -37,7 +38,7 @@
     /// Its address.
     pub address: SocketAddr,
     /// The fencing token of the lease.
-    pub token: u64,
+    pub token: FencingToken,
 }
 
 /// The body of a report, as far as it is needed. Encoded names are fixed; see docs/GLOSSARY.md.
--- a/crates/control/src/server_reports_tests.rs
+++ b/crates/control/src/server_reports_tests.rs
@@ -3,6 +3,7 @@
 use super::{ReportRequest, run};
 use crate::command::Command;
 use crate::lease::{HeldLease, LeaseWatch};
+use lugwharf_election::FencingToken;
 use lugwharf_protocol::Stage;
 use lugwharf_stages::StageReport;
 use rstest::rstest;
@@ -12,11 +13,11 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-const TOKEN: u64 = 7;
+const TOKEN: FencingToken = FencingToken(7);
 
 /// Asks a server that answers with this status and body, under a lease with `held` as its token; returns what it was sent and
 /// the report that was read.
-async fn ask(held: u64, status: &str, body: &str) -> (String, Option<StageReport>) {
+async fn ask(held: FencingToken, status: &str, body: &str) -> (String, Option<StageReport>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address");
     let response = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
@@ -78,6 +79,6 @@
 
 #[tokio::test]
 async fn nothing_is_asked_once_the_lease_is_lost() {
-    let (received, report) = ask(TOKEN + 1, "200 OK", r#"{"Stage":"decode"}"#).await;
+    let (received, report) = ask(FencingToken(TOKEN.0 + 1), "200 OK", r#"{"Stage":"decode"}"#).await;
     assert_eq!((received.as_str(), report), ("", None));
 }
