Name the silent peer for a severed link, and nobody before the first view

Cause: in the logs of a soak run, view outcome=proposed named the proposer itself for the link to a paused peer, and disk_lost at the bootstrap.

Change: of the processes with severed links the one that lacks the most, and another one than the proposer where there is a choice; none before view 1.

--- a/crates/chain/src/view_planner/chain.rs
+++ b/crates/chain/src/view_planner/chain.rs
@@ -23,8 +23,12 @@
         self.faulty_of(&self.view.chain).is_some()
     }
 
-    /// The first replica of the current chain with which something is wrong, or the first such member outside of it.
+    /// The first replica of the current chain with which something is wrong, or the first such member outside of it; none before
+    /// the first view, whose members are known by their addresses alone.
     pub fn faulty_replica(&self) -> Option<FaultyReplica> {
+        if self.view.number == 0 {
+            return None;
+        }
         let outside = self.view.members.iter().filter(|member| self.view.position(**member).is_none());
         let outside: Vec<MemberId> = outside.copied().collect();
         self.faulty_of(&self.view.chain).or_else(|| self.faulty_of(&outside))
@@ -35,15 +39,24 @@
         let unusable = processes.iter().find_map(|process| {
             self.fault_of(*process).map(|fault| FaultyReplica { address: process.address, fault })
         });
-        let is_severed = |one: &&MemberId| {
-            processes.iter().any(|other| self.peers.is_severed(one.address, other.address, self.now))
-        };
         unusable.or_else(|| {
-            let severed = processes.iter().find(is_severed)?;
+            let severed = self.most_severed(processes)?;
             Some(FaultyReplica { address: severed.address, fault: ReplicaFault::LinkSevered })
         })
     }
 
+    /// Of the processes that do not reach another one of them, the one that lacks the most links; another one than this process
+    /// if there is a choice, as it sees that its peer is silent and not why.
+    fn most_severed(&self, processes: &[MemberId]) -> Option<MemberId> {
+        let severed_links = |one: &MemberId| {
+            let is_severed = |other: &&MemberId| self.peers.is_severed(one.address, other.address, self.now);
+            processes.iter().filter(is_severed).count()
+        };
+        let rank = |one: &MemberId| (severed_links(one), *one != self.local_member);
+        let severed = processes.iter().rev().copied().filter(|one| severed_links(one) > 0);
+        severed.max_by_key(rank)
+    }
+
     /// What makes a process unusable as a replica.
     fn fault_of(&self, replica: MemberId) -> Option<ReplicaFault> {
         if replica.address == self.local_member.address {
--- a/crates/chain/src/view_planner/tests.rs
+++ b/crates/chain/src/view_planner/tests.rs
@@ -315,7 +315,7 @@
 #[rstest]
 #[case::healthy(&[reports(2, &[1, 3]), reports(3, &[1, 2])], None)]
 #[case::silent(&[reports(2, &[1])], Some((3, ReplicaFault::Unreachable)))]
-#[case::silent_here_alone(&[reports(2, &[1, 3])], Some((1, ReplicaFault::LinkSevered)))]
+#[case::silent_here_alone(&[reports(2, &[1, 3])], Some((3, ReplicaFault::LinkSevered)))]
 #[case::wiped(&[reports(2, &[1, 3]), wiped(reports(3, &[1, 2]))], Some((3, ReplicaFault::DiskLost)))]
 #[case::leaves(&[leaving(reports(2, &[1, 3])), reports(3, &[1, 2])], Some((2, ReplicaFault::Leaving)))]
 #[case::disk(
@@ -331,3 +331,11 @@
     let expected = expected.map(|(number, fault)| FaultyReplica { address: address(number), fault });
     assert_eq!(found, expected);
 }
+
+/// Before the first view members are known by address alone, and no disk of theirs is lost.
+#[test]
+fn nothing_is_faulty_before_the_first_view() {
+    let view = View { number: 0, ..view(&[1, 2, 3], &[]) };
+    let reports = [wiped(reports(2, &[1, 3])), reports(3, &[1, 2])];
+    assert_eq!(with_planner(&view, &reports, |planner| planner.faulty_replica()), None);
+}
