--- /dev/null
+++ b/crates/lugwharf/tests/conformance.rs
@@ -0,0 +1,52 @@
+//! `docs/CONFORMANCE.md` names tests that exist.
+
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+/// The names of tests have more words than anything else that the page shows as code.
+const MIN_WORDS_OF_A_TEST: usize = 5;
+
+fn repository() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// All Rust files below a folder.
+fn rust_files(folder: &Path, found: &mut Vec<PathBuf>) {
+    for entry in std::fs::read_dir(folder).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            rust_files(&path, found);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            found.push(path);
+        }
+    }
+}
+
+/// The texts that a page shows as code and that look like names of tests.
+fn named_tests(page: &str) -> BTreeSet<&str> {
+    let shown_as_code = page.split('`').skip(1).step_by(2);
+    let is_name = |text: &&str| {
+        text.chars().all(|char| char.is_ascii_lowercase() || char.is_ascii_digit() || char == '_')
+    };
+    shown_as_code.filter(is_name).filter(|text| text.split('_').count() >= MIN_WORDS_OF_A_TEST).collect()
+}
+
+#[test]
+fn each_test_that_the_conformance_table_names_exists() {
+    let page = std::fs::read_to_string(repository().join("docs/CONFORMANCE.md")).expect("the page");
+    let mut files = Vec::new();
+    rust_files(&repository().join("crates"), &mut files);
+    let sources: Vec<String> =
+        files.iter().map(|file| std::fs::read_to_string(file).expect("a source file")).collect();
+    let exists = |name: &&str| sources.iter().any(|source| source.contains(&format!("fn {name}(")));
+    let named = named_tests(&page);
+    assert!(!named.is_empty(), "the page names no test");
+    let missing: Vec<&str> = named.into_iter().filter(|name| !exists(name)).collect();
+    assert!(missing.is_empty(), "{missing:?}");
+}
+
+#[test]
+fn names_of_tests_are_told_from_other_code() {
+    let page = "| `metrics.rs` | `a_b_c_d_e`, `order outcome=x` and `two_words` |";
+    assert_eq!(named_tests(page), BTreeSet::from(["a_b_c_d_e"]));
+}
