--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -22,8 +22,9 @@
 const DECODE_SERVERS: usize = 3;
 /// Servers of the plain service.
 const PLAIN_SERVERS: usize = 3;
-/// Servers of the service that takes turns with the plain one.
-const ALTERNATE_SERVERS: usize = 2;
+/// Servers of the service that takes turns with the plain one. With two of them a run may replace both while the list can't be
+/// read, and then none is known to the proxies.
+const ALTERNATE_SERVERS: usize = 3;
 /// Requests that the list says a server without stages executes at a time.
 const LISTED_SLOTS: u32 = 6;
 /// The fencing token of a stranger, above all that views and elections of a run lead to.
