--- a/crates/emulator/src/cluster/process.rs
+++ b/crates/emulator/src/cluster/process.rs
@@ -5,6 +5,9 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 
+/// Replaces itself by the program, which ignores SIGXFSZ from its start: a write beyond [`Process::limit_file_size`] then fails
+/// instead of ending the process, as one to a full disk does.
+const IGNORE_FILE_SIZE_SIGNAL: &str = r#"trap '' XFSZ; exec "$0" "$@""#;
 /// Environment variables that a process inherits.
 const INHERITED_VARIABLES: [&str; 3] = ["PATH", "HOME", "LANG"];
 
@@ -37,8 +40,15 @@
     ) -> io::Result<Process> {
         let output = directory.join("output.log");
         let log = File::options().create(true).append(true).open(&output)?;
-        let mut command = Command::new(binary);
-        command.arg(role).args(arguments).env_clear().env("LUGWHARF_BOOT", settings).stdin(Stdio::null());
+        let mut command = Command::new("sh");
+        command
+            .args(["-c", IGNORE_FILE_SIZE_SIGNAL])
+            .arg(binary)
+            .arg(role)
+            .args(arguments)
+            .env_clear()
+            .env("LUGWHARF_BOOT", settings)
+            .stdin(Stdio::null());
         for name in INHERITED_VARIABLES {
             if let Some(value) = std::env::var_os(name) {
                 command.env(name, value);
@@ -70,8 +80,23 @@
         if self.child.try_wait()?.is_some() {
             return Ok(());
         }
-        let (id, limit) = (self.child.id().to_string(), format!("--nofile={max_open}:"));
-        let status = Command::new("prlimit").args(["--pid", &id, &limit]).status()?;
+        self.set_limit(&format!("--nofile={max_open}:"))
+    }
+
+    /// Sets the size, in bytes, beyond which writes to files fail (EFBIG); `None` for no limit. With 0 all writes fail, those
+    /// of its output too.
+    pub fn limit_file_size(&mut self, max_bytes: Option<u64>) -> io::Result<()> {
+        if self.child.try_wait()?.is_some() {
+            return Ok(());
+        }
+        let max_bytes = max_bytes.map_or("unlimited".to_owned(), |max_bytes| max_bytes.to_string());
+        self.set_limit(&format!("--fsize={max_bytes}:"))
+    }
+
+    /// Sets a soft limit of the process; `limit` is an argument of `prlimit`.
+    fn set_limit(&self, limit: &str) -> io::Result<()> {
+        let id = self.child.id().to_string();
+        let status = Command::new("prlimit").args(["--pid", &id, limit]).status()?;
         if status.success() { Ok(()) } else { Err(io::Error::other("the limit was not set")) }
     }
 
--- a/crates/soak/src/checker/excuses.rs
+++ b/crates/soak/src/checker/excuses.rs
@@ -94,6 +94,17 @@
     is_control_calm(records, from, until) && !is_hit
 }
 
+/// Whether the front-end node of an attempt gets configurations in time: no fault of control, of its agent or of its own
+/// processes is active around the attempt, or has just been.
+pub fn is_routing_calm(records: &RunRecords<'_>, attempt: &Attempt) -> bool {
+    let (from, until) = (attempt.started_at, attempt.ended_at);
+    let is_at_front = |fault: &ScheduledFault| fault.target % records.front_count == attempt.front;
+    let mut faults = control_faults(records, from, until);
+    let is_disturbed = faults
+        .any(|fault| (fault.kind.disrupts_agents() || fault.kind.disrupts_fronts()) && is_at_front(fault));
+    !is_disturbed && is_control_calm(records, from, until)
+}
+
 /// The faults between two times of agents that serve operators; none where there are machines for control.
 fn agent_faults<'a>(
     records: &'a RunRecords<'_>, from: Duration, until: Duration,
--- a/crates/soak/src/checker/mod.rs
+++ b/crates/soak/src/checker/mod.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | `records` | (the records that the checks read) |
 //! | `requests` | executions, responses, failures and their log lines, disconnected clients |
+//! | `routes` | which service executed a request |
 //! | `servers` | draining servers, and orders |
 //! | `configurations` | writes and reads of configurations |
 //! | `excuses` | which failures a scheduled fault explains, and for how long |
@@ -12,6 +13,7 @@
 mod excuses;
 mod records;
 mod requests;
+mod routes;
 mod servers;
 
 use crate::finding::Finding;
@@ -22,6 +24,7 @@
 pub fn check(records: &RunRecords<'_>) -> Vec<Finding> {
     let mut found = Vec::new();
     requests::check(records, &mut found);
+    routes::check(records, &mut found);
     servers::check(records, &mut found);
     configurations::check(records, &mut found);
     found
--- a/crates/soak/src/configuration.rs
+++ b/crates/soak/src/configuration.rs
@@ -1,4 +1,5 @@
-//! The configurations that operators write: the routes of all clients, and one route that is different in each version.
+//! The configurations that operators write: the routes of all clients, one route that is different in each version, and one
+//! whose service changes.
 
 use lugwharf_emulator::configuration::{ConfigurationSpec, EngineSpec, RouteSpec, ServiceSpec};
 use lugwharf_emulator::model_server::{ModelParameters, Stage};
@@ -9,8 +10,16 @@
 pub const MODEL_SERVICE: &str = "tutor";
 /// The service of short requests.
 pub const PLAIN_SERVICE: &str = "board";
+/// The service that takes turns with the plain one behind [`MOVING_PREFIX`].
+pub const ALTERNATE_SERVICE: &str = "annex";
+/// The prefix whose service changes every [`VERSIONS_PER_SERVICE`] versions.
+pub const MOVING_PREFIX: &str = "/move/";
+/// So many versions in a row name the same service, so that for seconds only one of the two may execute a request.
+pub const VERSIONS_PER_SERVICE: u64 = 8;
 /// The service of long requests, for clients that disconnect early.
 pub const SLOW_SERVICE: &str = "archive";
+/// The version that the harness writes before it records anything.
+pub const INITIAL_VERSION: u64 = 1;
 /// The timeout of streams, in ms. Long ones take up to 8 s on an idle machine, and longer on a busy one.
 const STREAM_TIMEOUT_MS: u64 = 30_000;
 
@@ -21,11 +30,13 @@
         .service(ServiceSpec::new(MODEL_SERVICE, Some(engine)))
         .service(ServiceSpec::new(PLAIN_SERVICE, None))
         .service(ServiceSpec::new(SLOW_SERVICE, None))
+        .service(ServiceSpec::new(ALTERNATE_SERVICE, None))
         .route(stream("/gen/"))
         .route(RouteSpec::new(HOST, "/work/", "unsafe", PLAIN_SERVICE))
         .route(RouteSpec::new(HOST, "/read/", "safe", PLAIN_SERVICE))
         .route(RouteSpec::new(HOST, "/slow/", "safe", SLOW_SERVICE))
         .route(RouteSpec { resumable: true, ..stream("/resume/") })
+        .route(RouteSpec::new(HOST, MOVING_PREFIX, "unsafe", moving_service(version)))
         .route(RouteSpec::new(HOST, &format!("/only-{version}/"), "safe", PLAIN_SERVICE))
 }
 
@@ -33,14 +44,21 @@
     RouteSpec { timeout_ms: STREAM_TIMEOUT_MS, ..RouteSpec::new(HOST, prefix, "streaming", MODEL_SERVICE) }
 }
 
-/// The service that may execute a client request with this target.
-pub fn service_of(target: &str) -> &'static str {
+/// The service behind [`MOVING_PREFIX`] in a version.
+pub fn moving_service(version: u64) -> &'static str {
+    if (version / VERSIONS_PER_SERVICE).is_multiple_of(2) { PLAIN_SERVICE } else { ALTERNATE_SERVICE }
+}
+
+/// The services that may execute a client request with this target, in any version.
+pub fn services_of(target: &str) -> &'static [&'static str] {
     if target.starts_with("/gen/") || target.starts_with("/resume/") {
-        MODEL_SERVICE
+        &[MODEL_SERVICE]
     } else if target.starts_with("/slow/") {
-        SLOW_SERVICE
+        &[SLOW_SERVICE]
+    } else if target.starts_with(MOVING_PREFIX) {
+        &[PLAIN_SERVICE, ALTERNATE_SERVICE]
     } else {
-        PLAIN_SERVICE
+        &[PLAIN_SERVICE]
     }
 }
 
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -104,6 +104,13 @@
     ConfigRace => "config_race",
     /// Operators write configurations in quick succession.
     ConfigBurst => "config_burst",
+    /// A stranger orders a model server to change its stage, under a fencing token above all others.
+    HigherToken => "higher_token",
+    /// The disk of a control process rejects every write, as a full one does.
+    ControlDiskFull => "control_disk_full",
+    /// The processes of a control node and of a front-end node stand still for most of each tenth of a second, as under a quota
+    /// of processor time.
+    ProcessorQuota => "processor_quota",
 }
 
 impl FaultKind {
@@ -147,6 +154,7 @@
                 | FaultKind::AnswersGarbled
                 | FaultKind::AnswersSurplus
                 | FaultKind::StreamsCut
+                | FaultKind::HigherToken
         )
     }
 
@@ -176,6 +184,7 @@
                 | FaultKind::ControlHerd
                 | FaultKind::ControlReplace
                 | FaultKind::ControlDescriptors
+                | FaultKind::ControlDiskFull
                 | FaultKind::PairSilent
                 | FaultKind::PairReset
                 | FaultKind::PairOneWay
@@ -194,6 +203,7 @@
                 | FaultKind::ConfigBurst
                 | FaultKind::Crowd
                 | FaultKind::IdleRace
+                | FaultKind::ProcessorQuota
         );
         !has_no_effect && !self.disrupts_servers()
     }
--- a/crates/soak/src/fault_injection.rs
+++ b/crates/soak/src/fault_injection.rs
@@ -3,7 +3,7 @@
 //! Faults of links have no action of their own: `link_faults` derives the state of all links from the active faults.
 
 use crate::fault::{FaultKind, ScheduledFault};
-use crate::fleet::{DescriptorLimit, Fleet};
+use crate::fleet::{DescriptorLimit, DiskLimit, Fleet};
 use crate::operators::OperatorRequest;
 use crate::process_id::ProcessId;
 use eyre::Result;
@@ -43,6 +43,8 @@
     server: usize,
     /// The control node that was added as a replacement.
     added_control_node: Option<usize>,
+    /// The processes that stand still by turns.
+    throttled: Vec<ProcessId>,
     /// The idle connections of a crowd.
     crowd: Vec<TcpStream>,
 }
@@ -63,6 +65,8 @@
         let peers: Vec<usize> =
             fleet.control_nodes.iter().copied().filter(|index| *index != control_node).collect();
         let front = fault.target % fleet.front_count;
+        let is_quota = fault.kind == FaultKind::ProcessorQuota;
+        let throttled = [ProcessId::Control(control_node), ProcessId::Proxy(front), fleet.agent(front)];
         ActiveFault {
             fault: fault.clone(),
             control_node,
@@ -73,6 +77,7 @@
             agent: fleet.agent(front),
             server: fault.target % fleet.servers.len(),
             added_control_node: None,
+            throttled: throttled.into_iter().filter(|_| is_quota).collect(),
             crowd: Vec::new(),
         }
     }
@@ -83,6 +88,11 @@
         drains.then(|| fleet.servers.instance_id(self.server).to_owned())
     }
 
+    /// The processes that stand still by turns while the fault is active.
+    pub fn throttled(&self) -> &[ProcessId] {
+        &self.throttled
+    }
+
     /// Injects the fault. The caller applies the link faults.
     ///
     /// # Errors
@@ -97,7 +107,8 @@
             | FaultKind::ControlWipe
             | FaultKind::ControlHerd
             | FaultKind::ControlReplace
-            | FaultKind::ControlDescriptors => self.inject_control_fault(fleet)?,
+            | FaultKind::ControlDescriptors
+            | FaultKind::ControlDiskFull => self.inject_control_fault(fleet)?,
             FaultKind::ProxyKill
             | FaultKind::AgentKill
             | FaultKind::FrontTerm
@@ -116,7 +127,8 @@
             | FaultKind::AnswersGarbled
             | FaultKind::AnswersSurplus
             | FaultKind::StreamsCut
-            | FaultKind::IdleRace => self.inject_server_fault(fleet).await,
+            | FaultKind::IdleRace
+            | FaultKind::HigherToken => self.inject_server_fault(fleet).await,
             // Operators that have stopped take no requests, and none are needed any more.
             FaultKind::ConfigRace => drop(operators.send(OperatorRequest::RaceWrites)),
             FaultKind::ConfigBurst => drop(operators.send(OperatorRequest::BurstWrites)),
@@ -128,7 +140,8 @@
             | FaultKind::Mute
             | FaultKind::AgentSilent
             | FaultKind::AgentDeaf
-            | FaultKind::AgentReset => {}
+            | FaultKind::AgentReset
+            | FaultKind::ProcessorQuota => {}
         }
         Ok(())
     }
@@ -151,6 +164,7 @@
                 Ok(())
             }
             FaultKind::ControlDescriptors => fleet.limit_descriptors(control, DescriptorLimit::Exhausted),
+            FaultKind::ControlDiskFull => fleet.limit_disk(control, DiskLimit::Full),
             // `inject` sends no other kind here.
             _ => Ok(()),
         }
@@ -199,6 +213,7 @@
                 REQUEST_FAULTS_PER_SERVER,
             ),
             FaultKind::IdleRace => servers.set_drops_idle_connections(true),
+            FaultKind::HigherToken => servers.order_as_stranger(self.server).await,
             // `inject` sends no other kind here.
             _ => {}
         }
@@ -215,6 +230,11 @@
             }
             FaultKind::FrontTerm => return restart_once_exited(fleet, &self.front_processes()),
             FaultKind::ServerCrash => fleet.servers.start_server(self.server).await?,
+            // The successor remembers no token.
+            FaultKind::HigherToken => {
+                fleet.servers.crash_server(self.server).await;
+                fleet.servers.start_server(self.server).await?;
+            }
             FaultKind::ServerDrain => {
                 fleet.servers.crash_server(self.server).await;
                 fleet.servers.start_server(self.server).await?;
@@ -252,6 +272,8 @@
                 self.front_processes().into_iter().try_for_each(|process_id| fleet.release_pause(process_id))
             }
             FaultKind::ControlDescriptors => fleet.limit_descriptors(control, DescriptorLimit::Ample),
+            FaultKind::ControlDiskFull => fleet.limit_disk(control, DiskLimit::Free),
+            FaultKind::ProcessorQuota => fleet.release_throttle(&self.throttled),
             FaultKind::ProxyDescriptors => {
                 fleet.limit_descriptors(ProcessId::Proxy(self.front), DescriptorLimit::Ample)
             }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -36,6 +36,15 @@
     Ample,
 }
 
+/// What the disk of a process takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiskLimit {
+    /// It rejects every write.
+    Full,
+    /// It takes all writes.
+    Free,
+}
+
 /// All processes of one run and what surrounds them.
 pub struct Fleet {
     /// The clock of the run, and the log of what servers received.
@@ -217,6 +226,33 @@
         Ok(())
     }
 
+    /// Sets what the disk of a process that runs takes.
+    pub fn limit_disk(&mut self, process_id: ProcessId, limit: DiskLimit) -> Result<()> {
+        if let Some(process) = self.cluster.process(&process_id.name()) {
+            process.limit_file_size(match limit {
+                DiskLimit::Full => Some(0),
+                DiskLimit::Free => None,
+            })?;
+        }
+        Ok(())
+    }
+
+    /// Stops processes (SIGSTOP) that no other fault has stopped or paused, until [`Fleet::release_throttle`].
+    pub fn throttle(&mut self, processes: &[ProcessId]) -> Result<()> {
+        processes.iter().try_for_each(|process_id| {
+            let is_idle = self.is_stopped_or_paused(&process_id.name());
+            if is_idle { Ok(()) } else { self.signal(*process_id, Signal::Freeze) }
+        })
+    }
+
+    /// Has processes continue (SIGCONT) that no other fault pauses.
+    pub fn release_throttle(&mut self, processes: &[ProcessId]) -> Result<()> {
+        processes.iter().try_for_each(|process_id| {
+            let is_paused = self.pause_counts.get(&process_id.name()).is_some_and(|count| *count > 0);
+            if is_paused { Ok(()) } else { self.signal(*process_id, Signal::Thaw) }
+        })
+    }
+
     /// Sends a signal to a process that runs.
     pub fn signal(&mut self, process_id: ProcessId, signal: Signal) -> Result<()> {
         if let Some(process) = self.cluster.process(&process_id.name()) {
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -1,13 +1,16 @@
 //! The emulated servers of a run, and the platform that lists them.
 
-use crate::configuration::{MODEL_SERVICE, PLAIN_SERVICE, SLOW_SERVICE};
+use crate::configuration::{ALTERNATE_SERVICE, MODEL_SERVICE, PLAIN_SERVICE, SLOW_SERVICE};
 use eyre::Result;
 use lugwharf_emulator::fault::{Fault, Matcher, Reachability};
 use lugwharf_emulator::host::{EmulatedServer, ServerOptions, World};
 use lugwharf_emulator::model_server::{ModelParameters, ModelServer, Stage};
+use lugwharf_emulator::operator::call_once;
 use lugwharf_emulator::plain_server::{PlainParameters, PlainServer};
 use lugwharf_emulator::platform::{InstanceEntry, PlatformHost};
 use lugwharf_emulator::server_core::{Identity, ServerEvent};
+use lugwharf_emulator::wire::Request;
+use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,8 +22,12 @@
 const DECODE_SERVERS: usize = 3;
 /// Servers of the plain service.
 const PLAIN_SERVERS: usize = 3;
+/// Servers of the service that takes turns with the plain one.
+const ALTERNATE_SERVERS: usize = 2;
 /// Requests that the list says a server without stages executes at a time.
 const LISTED_SLOTS: u32 = 6;
+/// The fencing token of a stranger, above all that views and elections of a run lead to.
+pub const STRANGER_TOKEN: u64 = 1 << 50;
 /// How long a request of the slow service takes.
 const SLOW_EXECUTION: Duration = Duration::from_millis(1_500);
 /// Requests that the server of the slow service executes at a time.
@@ -33,6 +40,8 @@
     Model(Stage),
     /// Short requests.
     Plain,
+    /// Short requests, in some versions of the configuration.
+    Alternate,
     /// Long requests.
     Slow,
 }
@@ -87,7 +96,8 @@
         let roles = std::iter::repeat_n(ServerRole::Model(Stage::Prefill), PREFILL_SERVERS)
             .chain(std::iter::repeat_n(ServerRole::Model(Stage::Decode), DECODE_SERVERS))
             .chain(std::iter::repeat_n(ServerRole::Plain, PLAIN_SERVERS))
-            .chain([ServerRole::Slow]);
+            .chain([ServerRole::Slow])
+            .chain(std::iter::repeat_n(ServerRole::Alternate, ALTERNATE_SERVERS));
         let mut pool = ServerPool { world: world.clone(), platform, servers: Vec::new() };
         for (index, role) in roles.enumerate() {
             let address = address_of(index);
@@ -123,6 +133,9 @@
             ServerRole::Plain => {
                 start_plain_server(&self.world, server, PLAIN_SERVICE, PlainParameters::default()).await?
             }
+            ServerRole::Alternate => {
+                start_plain_server(&self.world, server, ALTERNATE_SERVICE, PlainParameters::default()).await?
+            }
             ServerRole::Slow => {
                 let slow =
                     PlainParameters { work: SLOW_EXECUTION, slots: SLOW_SLOTS, ..PlainParameters::default() };
@@ -165,6 +178,23 @@
         }
     }
 
+    /// Orders a model server to take the other stage, under a token above all that the fleet uses; does nothing at servers
+    /// without stages. The server remembers the token until it ends.
+    pub async fn order_as_stranger(&self, index: usize) {
+        let server = &self.servers[index];
+        let ServerRole::Model(stage) = server.role else { return };
+        let other_stage = match stage {
+            Stage::Prefill => Stage::Decode,
+            Stage::Decode => Stage::Prefill,
+        };
+        let body = json!({"Op": "Stage", "Stage": other_stage.as_str(), "Holder": "stranger", "Fence": STRANGER_TOKEN});
+        let mut request = Request::new("POST", "/order");
+        request.headers.set("Expect-Instance", &server.instance_id);
+        request.body = body.to_string().into_bytes();
+        // A server that is down or does not respond has other faults.
+        let _ = call_once(server.address, &request).await;
+    }
+
     /// Sets whether all servers drop idle connections without closing them.
     pub fn set_drops_idle_connections(&self, drops: bool) {
         for running in self.running() {
--- a/crates/soak/src/timeline.rs
+++ b/crates/soak/src/timeline.rs
@@ -5,6 +5,7 @@
 use crate::fleet::Fleet;
 use crate::link_faults::apply_link_faults;
 use crate::operators::Operators;
+use crate::process_id::ProcessId;
 use crate::process_monitor::ProcessMonitor;
 use crate::schedule::Schedule;
 use eyre::Result;
@@ -16,6 +17,10 @@
 /// The pause before a recovery that waits for the exit of a process is tried again.
 const RECOVERY_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long throttled processes run in each tenth of a second, and how long they stand still.
+const THROTTLE_RUN_TIME: Duration = Duration::from_millis(40);
+const THROTTLE_STOP_TIME: Duration = Duration::from_millis(60);
+
 /// What was played.
 pub struct PlayedSchedule {
     /// The faults, with the times at which they were injected and recovered from in fact.
@@ -29,6 +34,10 @@
 enum Action {
     Inject(usize),
     Recover(usize),
+    /// Stops the processes that a fault throttles.
+    Stop(usize),
+    /// Has them continue.
+    Continue(usize),
     Observe,
 }
 
@@ -83,9 +92,14 @@
         while let Some(step) = self.take_next_step() {
             let remaining = step.due.saturating_sub(self.fleet.world.now());
             sleep_until(Instant::now() + remaining).await;
+            if !matches!(step.action, Action::Stop(_) | Action::Continue(_)) {
+                self.continue_all_throttled()?;
+            }
             match step.action {
                 Action::Inject(index) => self.inject(index).await?,
                 Action::Recover(index) => self.recover(index).await?,
+                Action::Stop(index) => self.stop_throttled(index)?,
+                Action::Continue(index) => self.continue_throttled(index)?,
                 Action::Observe => self.observe().await,
             }
             apply_link_faults(self.fleet, self.injected.iter().map(|injected| &injected.active));
@@ -113,8 +127,11 @@
         }
         self.played.schedule.faults[index].start = injected_at;
         active.inject(self.fleet, &self.operators.requests).await?;
-        self.injected.push(InjectedFault { index, active });
         self.steps.push(Step { due: fault.end(), action: Action::Recover(index) });
+        if !active.throttled().is_empty() {
+            self.schedule_step(THROTTLE_RUN_TIME, Action::Stop(index));
+        }
+        self.injected.push(InjectedFault { index, active });
         Ok(())
     }
 
@@ -134,6 +151,34 @@
         Ok(())
     }
 
+    fn stop_throttled(&mut self, index: usize) -> Result<()> {
+        let Some(processes) = self.throttled_by(index) else { return Ok(()) };
+        self.fleet.throttle(&processes)?;
+        self.schedule_step(THROTTLE_STOP_TIME, Action::Continue(index));
+        Ok(())
+    }
+
+    fn continue_throttled(&mut self, index: usize) -> Result<()> {
+        let Some(processes) = self.throttled_by(index) else { return Ok(()) };
+        self.fleet.release_throttle(&processes)?;
+        self.schedule_step(THROTTLE_RUN_TIME, Action::Stop(index));
+        Ok(())
+    }
+
+    /// Has all throttled processes continue before a step that may take long, so that no stop outlasts its time.
+    fn continue_all_throttled(&mut self) -> Result<()> {
+        for injected in &self.injected {
+            self.fleet.release_throttle(injected.active.throttled())?;
+        }
+        Ok(())
+    }
+
+    /// The processes that a fault throttles; `None` once it is over.
+    fn throttled_by(&self, index: usize) -> Option<Vec<ProcessId>> {
+        let injected = self.injected.iter().find(|injected| injected.index == index)?;
+        Some(injected.active.throttled().to_vec())
+    }
+
     async fn observe(&mut self) {
         self.monitor.observe(self.fleet).await;
         let has_more_steps = self.steps.iter().any(|step| step.action != Action::Observe);
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -187,7 +187,8 @@
     let segments = [(rng.u64(..20), 2_000), (0x1_0000 + number, 2_000)];
     let route = if behaviour == Behaviour::Leaving { rng.u32(3..10) } else { rng.u32(..8) };
     let request = match route {
-        0..=2 => ClientRequest::post(&id, HOST, "/work/1", Kind::Unsafe),
+        0 | 1 => ClientRequest::post(&id, HOST, "/work/1", Kind::Unsafe),
+        2 => ClientRequest::post(&id, HOST, "/move/1", Kind::Unsafe),
         3 => ClientRequest::post(&id, HOST, "/read/1", Kind::Safe),
         4 | 5 => ClientRequest::generation(&id, HOST, "/gen/1", (5_000, out_tokens), &segments),
         6 | 7 => {
