Review: kept connections deny requests by the limits of the version before

Cause: the proxy takes the limits before it waits for the next request on a connection, and reads that request by them.

--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -75,10 +75,15 @@
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(timeout))?;
     stream.set_write_timeout(Some(timeout))?;
+    call_on(&mut stream, &mut Vec::new(), head, body)
+}
+
+/// Sends one request on an open connection and reads its response.
+pub fn call_on(stream: &mut TcpStream, rest: &mut Vec<u8>, head: &str, body: &[u8]) -> io::Result<Message> {
     let mut bytes = format!("{head}\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
     bytes.extend_from_slice(body);
     stream.write_all(&bytes)?;
-    read(&mut stream, &mut Vec::new())?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+    read(stream, rest)?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
 }
 
 /// Encodes a response with a body.
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod servers;
 
 mod duplicate_field;
+mod limits_on_kept_connections;
 mod unsignalled_seeds;
 
 use std::fs::File;
@@ -61,6 +62,7 @@
     record.line(format!("case {case}, disruption: {has_trouble}"));
     let verdict = match case.as_str() {
         "duplicate-field" => duplicate_field::run(record, has_trouble),
+        "limits-on-kept-connections" => limits_on_kept_connections::run(record, has_trouble),
         "unsignalled-seeds" => unsignalled_seeds::run(record, has_trouble),
         _ => Err(format!("no case {case:?}")),
     };
