--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -6,6 +6,7 @@
 use std::fs::{self, File};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -108,15 +109,17 @@
         fs::write(&path, self.settings(machine, role)).map_err(text)?;
         let log = File::options().create(true).append(true).open(self.directory.join(format!("{name}.log")));
         let log = log.map_err(text)?;
-        let child = Command::new(PROGRAM)
+        let mut command = Command::new(PROGRAM);
+        command
             .args([role, "--metrics", metrics])
             .env_clear()
             .env("LUGWHARF_BOOT", &path)
             .stdin(Stdio::null())
             .stdout(log.try_clone().map_err(text)?)
-            .stderr(log)
-            .spawn()
-            .map_err(|error| format!("{PROGRAM}: {error}"))?;
+            .stderr(log);
+        // SAFETY: the closure makes one system call and touches no memory of the parent.
+        unsafe { command.pre_exec(end_with_parent) };
+        let child = command.spawn().map_err(|error| format!("{PROGRAM}: {error}"))?;
         self.record.line(format!("start {name}, process {}", child.id()));
         self.processes.push(Process { name, role, child });
         Ok(())
@@ -324,6 +327,21 @@
     }
 }
 
+extern "C" {
+    fn prctl(option: i32, argument: u64, ...) -> i32;
+}
+
+/// Has the kernel kill the calling process when its parent ends, in whatever way that happens.
+fn end_with_parent() -> io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    // SAFETY: this option takes one number and no pointer.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(io::Error::last_os_error()),
+    }
+}
+
 /// Returns the second and third byte of a block of loopback addresses whose ports are free.
 fn free_block() -> Option<(u8, u8)> {
     let start = std::process::id();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -15,7 +15,11 @@
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
-use std::time::Instant;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A run that has not ended by then is ended: a script may take 120 s.
+const MAX_TIME: Duration = Duration::from_secs(110);
 
 /// The result of a case, which is also its exit status.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -60,6 +64,12 @@
     };
     let record: &'static Record = Box::leak(Box::new(record));
     record.line(format!("case {case}, disruption: {has_trouble}"));
+    // The processes that were started end with this one.
+    thread::spawn(move || {
+        thread::sleep(MAX_TIME);
+        record.line("could not run: it took too long");
+        std::process::exit(Verdict::CouldNotRun as i32);
+    });
     let verdict = match case.as_str() {
         "duplicate-field" => duplicate_field::run(record, has_trouble),
         "limits-on-kept-connections" => limits_on_kept_connections::run(record, has_trouble),
