--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod servers;
 
 mod duplicate_field;
+mod unsignalled_seeds;
 
 use std::fs::File;
 use std::io::Write;
@@ -60,6 +61,7 @@
     record.line(format!("case {case}, disruption: {has_trouble}"));
     let verdict = match case.as_str() {
         "duplicate-field" => duplicate_field::run(record, has_trouble),
+        "unsignalled-seeds" => unsignalled_seeds::run(record, has_trouble),
         _ => Err(format!("no case {case:?}")),
     };
     let verdict = verdict.unwrap_or_else(|error| {
