Second review: end the cuts of case 4 before a read of the list

Change: the stand-in ends a cut 850 to 900 ms after the last read of the list, 2.0 to 3.2 s after its start.

--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -490,7 +490,8 @@
 #[derive(Clone, Default)]
 pub struct Platform {
     pub list: Arc<Mutex<Vec<Listed>>>,
-    pub reads: Arc<AtomicU64>,
+    /// When the list was read last.
+    last_read: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Platform {
@@ -505,13 +506,20 @@
         });
     }
 
+    /// How long ago the list was read last.
+    pub fn since_read_ms(&self) -> u64 {
+        self.last_read.lock().unwrap().map_or(0, |at| at.elapsed().as_millis() as u64)
+    }
+
     fn connection(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut write) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
-        while let Ok(Some(_)) = read_message(&mut reader) {
+        while let Ok(Some(request)) = read_message(&mut reader) {
+            if request.first.contains(" /instances") {
+                *self.last_read.lock().unwrap() = Some(Instant::now());
+            }
             let entries: Vec<String> = self.list.lock().unwrap().iter().map(entry_json).collect();
-            self.reads.fetch_add(1, Ordering::Relaxed);
             let body = format!("{{\"Instances\":[{}],\"NextToken\":null}}", entries.join(","));
             let answer = format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
--- a/review/standin-2/missed_list.rs
+++ b/review/standin-2/missed_list.rs
@@ -21,8 +21,11 @@
 const FRONTS: u8 = 8;
 /// A round ends this long after its cut began.
 const ROUND_MS: u64 = 9_500;
-/// A cut lasts between these times. The longest cut of the core that the site names lasts 5.5 s.
-const CUT_MS: std::ops::Range<u64> = 2_000..3_000;
+/// A cut lasts at least as long as the first time and at most as long as the second. In between it heals when
+/// the list was last read `HEAL_AFTER_READ_MS` ago. The list is read every 1,000 ms, and each read shows a
+/// change. The longest cut of the core that the site names lasts 5.5 s.
+const CUT_MS: (u64, u64) = (2_000, 3_200);
+const HEAL_AFTER_READ_MS: std::ops::Range<u64> = 850..900;
 const ROUNDS: u64 = 11;
 /// No round begins later than this, so that the run ends within 120 s.
 const LAST_ROUND_MS: u64 = 101_000;
@@ -299,7 +302,11 @@
         for role in ["agent", "proxy"] {
             fleet.signal(&format!("{role}-{front}"), "TERM");
         }
-        sleep_ms(CUT_MS.start + random() % (CUT_MS.end - CUT_MS.start));
+        let cut = Instant::now();
+        sleep_ms(CUT_MS.0);
+        while cut.elapsed() < Duration::from_millis(CUT_MS.1) && !HEAL_AFTER_READ_MS.contains(&platform.since_read_ms()) {
+            sleep_ms(2);
+        }
         if is_trouble() {
             links.heal();
             world.core_unstable.store(record.ms(), Ordering::Relaxed);
