--- a/review/standin-2/missed_list.rs
+++ b/review/standin-2/missed_list.rs
@@ -18,6 +18,10 @@
 /// Allowed beyond the bound for the way between stand-ins.
 const SLACK_MS: u64 = 200;
 const SERVERS: usize = 8;
+/// How many servers a release replaces, and the time between two of them. The site's largest dose is a share of
+/// 0.45, one at a time, each 1.0 s.
+const RELEASED: usize = 3;
+const RELEASE_GAP_MS: u64 = 1_000;
 const FRONTS: u8 = 8;
 /// A round ends this long after its cut began.
 const ROUND_MS: u64 = 9_500;
@@ -54,6 +58,8 @@
     /// Requests that a server was running when it ended.
     cut_short: AtomicU64,
     served: AtomicU64,
+    /// How many servers the platform has listed.
+    added: AtomicU64,
     stop: Stop,
 }
 
@@ -175,46 +181,45 @@
         }
     }
 
-    /// Releases the servers of the service one after the other: each second a new one is listed, and half a
-    /// second later the oldest ready one drains. Servers that have drained leave the list.
+    fn add_server(self: &Arc<World>, net: Net) {
+        let number = self.added.fetch_add(1, Ordering::Relaxed) as u8 + 1;
+        let (id, address) = (format!("i-{number:04}"), net.server(number));
+        self.servers.lock().unwrap().insert(id.clone(), Server::default());
+        self.clone().serve(id.clone(), address);
+        let service = "work".to_owned();
+        self.platform.list.lock().unwrap().push(Listed { id: id.clone(), service, address, draining: false, stage: "" });
+        self.record.line(&format!("the platform lists {id} as ready"));
+    }
+
+    /// The server that has been ready for longest drains.
+    fn drain_oldest(&self) {
+        let now = self.record.ms();
+        let mut list = self.platform.list.lock().unwrap();
+        let Some(entry) = list.iter_mut().find(|entry| !entry.draining) else { return };
+        entry.draining = true;
+        let mut servers = self.servers.lock().unwrap();
+        let server = servers.entry(entry.id.clone()).or_default();
+        server.draining_at = Some(now);
+        server.gone_at = Some(now + DRAIN_MS + LINGER_MS);
+        self.record.line(&format!("the platform lists {} as draining", entry.id));
+    }
+
+    /// Replaces `RELEASED` servers of the service one after the other: each second a new one is listed, and
+    /// half a second later the oldest ready one drains.
     fn release(self: Arc<World>, net: Net) {
-        let mut next = 1;
-        let start = Instant::now();
-        let add = |number: u8| {
-            let (id, address) = (format!("i-{number:04}"), net.server(number));
-            self.servers.lock().unwrap().insert(id.clone(), Server::default());
-            self.clone().serve(id.clone(), address);
-            let service = "work".to_owned();
-            self.platform.list.lock().unwrap().push(Listed { id: id.clone(), service, address, draining: false, stage: "" });
-            self.record.line(&format!("the platform lists {id} as ready"));
-        };
-        for _ in 0..SERVERS {
-            add(next);
-            next += 1;
+        for _ in 0..RELEASED {
+            self.add_server(net);
+            sleep_ms(RELEASE_GAP_MS / 2);
+            self.drain_oldest();
+            sleep_ms(RELEASE_GAP_MS / 2);
         }
-        let mut step = 0;
+    }
+
+    /// Takes servers that have ended off the list.
+    fn remove_ended(self: Arc<World>) {
         while !self.stop.is_set() {
-            sleep_ms(20);
-            let now = self.record.ms();
             self.platform.list.lock().unwrap().retain(|entry| !self.is_gone(&entry.id));
-            if start.elapsed() < Duration::from_millis(8_000 + step * 500) {
-                continue;
-            }
-            step += 1;
-            if step % 2 == 1 && next < 250 {
-                add(next);
-                next += 1;
-                continue;
-            }
-            let mut list = self.platform.list.lock().unwrap();
-            if let Some(entry) = list.iter_mut().find(|entry| !entry.draining) {
-                entry.draining = true;
-                let mut servers = self.servers.lock().unwrap();
-                let server = servers.entry(entry.id.clone()).or_default();
-                server.draining_at = Some(now);
-                server.gone_at = Some(now + DRAIN_MS + LINGER_MS);
-                self.record.line(&format!("the platform lists {} as draining", entry.id));
-            }
+            sleep_ms(20);
         }
     }
 }
@@ -252,6 +257,7 @@
         late: AtomicU64::new(0),
         cut_short: AtomicU64::new(0),
         served: AtomicU64::new(0),
+        added: AtomicU64::new(0),
         stop: Stop::default(),
     });
     for i in 1..=3 {
@@ -260,8 +266,11 @@
         }
     }
     let mut fleet = Fleet::new(net, 3, FRONTS);
-    let release = world.clone();
-    thread::spawn(move || release.release(net));
+    for _ in 0..SERVERS {
+        world.add_server(net);
+    }
+    let remover = world.clone();
+    thread::spawn(move || remover.remove_ended());
     fleet.start_all();
     if !fleet.configure(0, &configuration(), 8) || !fleet.await_ready(8) {
         record.say("the fleet did not start");
@@ -298,7 +307,9 @@
             record.say(&format!("round {round}: core-{holder} reads the list; core-{core} is cut off from the other core machines"));
             others.for_each(|i| links.cut(net.core_private(core), net.core_private(i)));
         }
-        record.say(&format!("front-{front}, which follows core-{core}, gets SIGTERM"));
+        let release = world.clone();
+        thread::spawn(move || release.release(net));
+        record.say(&format!("a release replaces {RELEASED} of {SERVERS} servers; front-{front}, which follows core-{core}, gets SIGTERM"));
         for role in ["agent", "proxy"] {
             fleet.signal(&format!("{role}-{front}"), "TERM");
         }
