Reject responses whose status code is outside 100 to 599

Cause: the HTTP parser accepts any three digits as a status code, and `parse_response` took what it returned. Code 000 then counted as an error that the request itself had caused, which is forwarded and not retried. The emulator's reader skipped the same heads as interim responses, so that the clients of the soak could not notice them.

Why this works: RFC 9110, section 15, calls such codes invalid. The head is now an error where it is parsed, so each reader treats it as it treats any other bytes that are no response: the server may have executed the request, which is sent elsewhere only if its route allows that; other clients get 502.

--- a/crates/emulator/src/wire/connection.rs
+++ b/crates/emulator/src/wire/connection.rs
@@ -7,6 +7,7 @@
 use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -17,6 +18,8 @@
 pub const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// The maximum number of headers of a message.
 const MAX_HEADERS: usize = 64;
+/// The valid status codes (RFC 9110, section 15). The parser accepts any three digits.
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 /// The maximum number of bytes that may arrive without the end of a chunk-size or trailer line.
 const MAX_CHUNK_LINE_BYTES: usize = 64;
 
@@ -211,7 +214,8 @@
         let httparse::Status::Complete(length) = status else {
             return self.incomplete_head();
         };
-        let mut response = Response::new(head.code.unwrap_or_default());
+        let code = head.code.filter(|code| STATUS_CODES.contains(code));
+        let mut response = Response::new(code.ok_or(WireError::Malformed("invalid status code"))?);
         response.headers = convert_headers(head.headers)?;
         self.buffer.advance(length);
         Ok(Some(response))
--- a/crates/emulator/tests/wire.rs
+++ b/crates/emulator/tests/wire.rs
@@ -50,6 +50,10 @@
 #[case::bad_length(b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n")]
 #[case::bad_chunk(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n")]
 #[case::bytes_behind_a_chunk(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n0\r\n\r\n")]
+#[case::status_below_the_range(
+    b"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+)]
+#[case::status_above_the_range(b"HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n")]
 #[case::other_encoding(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n")]
 #[tokio::test]
 async fn malformed_response_is_an_error(#[case] bytes: &[u8]) {
--- a/crates/proxy/src/http/head.rs
+++ b/crates/proxy/src/http/head.rs
@@ -1,14 +1,17 @@
 //! The heads of requests and responses, stored as raw bytes and the spans of their fields.
 
 use bytes::{Bytes, BytesMut};
+use std::ops::RangeInclusive;
 
 /// The maximum number of header fields in a head.
 const MAX_FIELDS: usize = 96;
+/// The valid status codes (RFC 9110, section 15). The parser accepts any three digits.
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 
 /// Why a head was rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum HeadError {
-    /// The bytes are not a head of an HTTP/1 message.
+    /// The bytes are not a head of an HTTP/1 message, or the status code is not from 100 to 599.
     #[error("not a valid HTTP/1 message head")]
     Malformed,
     /// The head has more than 96 header fields.
@@ -162,6 +165,9 @@
 
 /// Parses the head of a response and removes it from the front of `buffer`. Returns `None` while the head is
 /// incomplete.
+///
+/// # Errors
+/// The head is invalid, which includes a status code outside 100 to 599.
 pub fn parse_response(buffer: &mut BytesMut) -> Result<Option<ResponseHead>, HeadError> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut response = httparse::Response::new(&mut fields);
@@ -170,7 +176,8 @@
     };
     let base = buffer.as_ptr() as usize;
     let reason = span(base, response.reason.unwrap_or_default().as_bytes());
-    let (status, is_http10) = (response.code.unwrap_or(0), response.version == Some(0));
+    let status = response.code.filter(|code| STATUS_CODES.contains(code)).ok_or(HeadError::Malformed)?;
+    let is_http10 = response.version == Some(0);
     let fields = spans(base, response.headers);
     let headers = Headers { raw: buffer.split_to(length).freeze(), fields };
     Ok(Some(ResponseHead { headers, status, reason, is_http10 }))
