Treat a body without a length as truncated after the request met a reset

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. A client of an event stream got a regular end after the first events, a request to a model service was decoded from a handle whose response had been cut off.

Cause: the kernel reports the failure of a connection to one operation only. The writer of the request watches for input and met the reset first, in `read_available` or in a write, and turned it into "closed". The reader of the body then got the end of the stream, which ends a body without a length when the close is orderly.

Why this works: `Connection` keeps the first failure that any read or write meets. Bytes that arrived before it are still read; the end of the stream after it is an error. `EPIPE` is left out: without an earlier failure a write returns it only after the server's FIN, so that the close was orderly and everything has arrived.

--- a/crates/proxy/src/outbound/connection.rs
+++ b/crates/proxy/src/outbound/connection.rs
@@ -97,6 +97,8 @@
     /// Whether the connection must not carry a further request: the last request was not sent completely, or
     /// its response could be taken for the response to another request.
     pub must_close: bool,
+    /// Why the connection failed, once a read or a write has met the failure.
+    failure: Option<io::ErrorKind>,
     permit: ConnectionPermit,
 }
 
@@ -114,6 +116,7 @@
             server_idle_since: idle_since,
             server_closes_at: None,
             must_close: false,
+            failure: None,
             permit,
         })
     }
@@ -154,7 +157,22 @@
 
     /// Writes all of `bytes`, without checking for input. After an error, the last byte has not been sent.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.stream.write_all(bytes).await
+        let written = self.stream.write_all(bytes).await;
+        self.record_failure(&written);
+        written
+    }
+
+    /// Keeps the kind of the error if an operation on the socket failed. The kernel reports the failure of a
+    /// connection to one operation only: later reads return the end of the stream, as after an orderly close.
+    ///
+    /// A write fails with `EPIPE` after the server closed its sending direction in an orderly way, or if
+    /// another operation has met the failure before. It is therefore not a failure of the receiving direction.
+    fn record_failure<T>(&mut self, result: &io::Result<T>) {
+        if let Err(error) = result
+            && !matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::BrokenPipe)
+        {
+            self.failure = Some(error.kind());
+        }
     }
 
     /// Reads the head of the next final response. Interim responses (1xx) are skipped.
@@ -206,6 +224,7 @@
         let mut bypasses_runtime = false;
         while self.buffer.len() <= MAX_HEAD_BYTES {
             let read = if bypasses_runtime { self.read_directly() } else { self.read_if_ready() };
+            self.record_failure(&read);
             match read {
                 Ok(0) => return StreamState::Closed,
                 Ok(_) => {}
@@ -256,18 +275,24 @@
     }
 
     /// Writes as many bytes as possible without waiting, and returns their number.
-    pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
-        match self.stream.try_write(bytes) {
+    pub fn try_write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let written = self.stream.try_write(bytes);
+        self.record_failure(&written);
+        match written {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(0),
             written => written,
         }
     }
 
-    /// Waits for more bytes, and adds them to the buffer.
+    /// Waits for more bytes, and adds them to the buffer. After a failure, the bytes that arrived before it
+    /// are still read, and the end of the stream is not an orderly close.
     async fn fill(&mut self) -> Result<(), ReadError> {
-        match http::fill(&mut self.stream, &mut self.buffer).await? {
-            Fill::Received => Ok(()),
-            Fill::Eof => Err(ReadError::UnexpectedEof),
+        let filled = http::fill(&mut self.stream, &mut self.buffer).await;
+        self.record_failure(&filled);
+        match (filled?, self.failure) {
+            (Fill::Received, _) => Ok(()),
+            (Fill::Eof, Some(failure)) => Err(ReadError::Io(failure.into())),
+            (Fill::Eof, None) => Err(ReadError::UnexpectedEof),
         }
     }
 }
--- a/crates/proxy/src/outbound/mod.rs
+++ b/crates/proxy/src/outbound/mod.rs
@@ -1,6 +1,8 @@
 //! The server side: connections, the connection pool, and the exchange of one request for a response.
 
 mod connection;
+#[cfg(test)]
+mod connection_tests;
 mod error;
 mod exchange;
 #[cfg(test)]
