Reject response heads that a single LF in a field ends early

What callers saw: a server in trouble sent a head in which the name of a field began with a LF. The client got a 200 with the server's stamp and a body that was not the server's: the rest of the head, cut to the announced length. A LF behind the last value did the same.

Cause: the parser takes a single LF for a line ending, also in a head whose lines end with CRLF. The LF then made an empty line, which ends the head. Requests with such lines are rejected, responses were not.

Evidence: `broken_responses.rs` sends heads with a blank, NUL, DEL or LF in a name, before and after the field that announces the body, in each framing, on each kind of route, on a reused connection, before the request is complete, on a resumed stream and to both phases. Blanks and all other control bytes in a name were rejected before on x86-64, where these tests ran.

Why this works: a head that contains a CR has to end with CRLF CRLF, so that a LF in a name or behind a value can't end it. Heads whose lines all end with a LF stay valid, as RFC 9112, section 2.2, allows. Names and values are now checked by the proxy itself, too, since the parser's code differs between architectures and only x86-64 could be run.

--- a/crates/emulator/src/wire/connection.rs
+++ b/crates/emulator/src/wire/connection.rs
@@ -214,6 +214,9 @@
         let httparse::Status::Complete(length) = status else {
             return self.incomplete_head();
         };
+        if has_ambiguous_end(&self.buffer[..length]) {
+            return Err(WireError::Malformed("a head with CRLF line endings does not end with two of them"));
+        }
         let code = head.code.filter(|code| STATUS_CODES.contains(code));
         let mut response = Response::new(code.ok_or(WireError::Malformed("invalid status code"))?);
         response.headers = convert_headers(head.headers)?;
@@ -226,9 +229,24 @@
     }
 }
 
+/// Whether a head with CRLF line endings does not end with CRLF CRLF. The parser then took a single LF, which
+/// belongs to the name or the value of a header, for a line ending.
+fn has_ambiguous_end(head: &[u8]) -> bool {
+    head.contains(&b'\r') && !head.ends_with(b"\r\n\r\n")
+}
+
+/// Whether a name consists of visible ASCII characters. The parser has different code for each processor
+/// architecture.
+fn is_header_name(name: &str) -> bool {
+    !name.is_empty() && name.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 fn convert_headers(parsed: &[httparse::Header<'_>]) -> Result<Headers, WireError> {
     let mut headers = Headers::new();
     for header in parsed {
+        if !is_header_name(header.name) {
+            return Err(WireError::Malformed("invalid header name"));
+        }
         let value = std::str::from_utf8(header.value)
             .map_err(|_| WireError::Malformed("header value is not UTF-8"))?;
         headers.push(header.name, value);
--- a/crates/emulator/tests/wire.rs
+++ b/crates/emulator/tests/wire.rs
@@ -54,6 +54,10 @@
     b"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 )]
 #[case::status_above_the_range(b"HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n")]
+#[case::blank_in_a_name(b"HTTP/1.1 200 OK\r\nX Y: v\r\nContent-Length: 0\r\n\r\n")]
+#[case::control_byte_in_a_name(b"HTTP/1.1 200 OK\r\nX\x01: v\r\nContent-Length: 0\r\n\r\n")]
+#[case::newline_before_a_name(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\nX: v\r\n\r\n")]
+#[case::newline_after_a_value(b"HTTP/1.1 200 OK\r\nX: v\n\r\nContent-Length: 0\r\n\r\n")]
 #[case::other_encoding(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n")]
 #[tokio::test]
 async fn malformed_response_is_an_error(#[case] bytes: &[u8]) {
--- a/crates/proxy/src/http/head.rs
+++ b/crates/proxy/src/http/head.rs
@@ -11,7 +11,8 @@
 /// Why a head was rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum HeadError {
-    /// The bytes are not a head of an HTTP/1 message, or the status code is not from 100 to 599.
+    /// The bytes are not a head of an HTTP/1 message, a field has an invalid name or value, the end of the head
+    /// is ambiguous, or the status code is not from 100 to 599.
     #[error("not a valid HTTP/1 message head")]
     Malformed,
     /// The head has more than 96 header fields.
@@ -158,7 +159,7 @@
     let method = span(base, request.method.unwrap_or_default().as_bytes());
     let target = span(base, request.path.unwrap_or_default().as_bytes());
     let is_http10 = request.version == Some(0);
-    let fields = spans(base, request.headers);
+    let fields = spans(base, request.headers)?;
     let headers = Headers { raw: buffer.split_to(length).freeze(), fields };
     Ok(Some(RequestHead { headers, method, target, is_http10 }))
 }
@@ -167,18 +168,21 @@
 /// incomplete.
 ///
 /// # Errors
-/// The head is invalid, which includes a status code outside 100 to 599.
+/// The head is invalid. See [`HeadError`].
 pub fn parse_response(buffer: &mut BytesMut) -> Result<Option<ResponseHead>, HeadError> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut response = httparse::Response::new(&mut fields);
     let httparse::Status::Complete(length) = response.parse(buffer).map_err(head_error)? else {
         return Ok(None);
     };
+    if has_ambiguous_end(buffer.get(..length).unwrap_or_default()) {
+        return Err(HeadError::Malformed);
+    }
     let base = buffer.as_ptr() as usize;
     let reason = span(base, response.reason.unwrap_or_default().as_bytes());
     let status = response.code.filter(|code| STATUS_CODES.contains(code)).ok_or(HeadError::Malformed)?;
     let is_http10 = response.version == Some(0);
-    let fields = spans(base, response.headers);
+    let fields = spans(base, response.headers)?;
     let headers = Headers { raw: buffer.split_to(length).freeze(), fields };
     Ok(Some(ResponseHead { headers, status, reason, is_http10 }))
 }
@@ -196,6 +200,24 @@
     head.windows(2).any(|pair| pair[1] == b'\n' && pair[0] != b'\r') || head.first() == Some(&b'\n')
 }
 
+/// Returns whether a head with CRLF line endings does not end with CRLF CRLF. The parser then took a single LF
+/// for a line ending, and the rest of the head for a body, where the LF belongs to the name or the value of a
+/// field.
+fn has_ambiguous_end(head: &[u8]) -> bool {
+    head.contains(&b'\r') && !head.ends_with(b"\r\n\r\n")
+}
+
+/// Returns whether a name is a token (RFC 9110, section 5.6.2).
+fn is_token(name: &str) -> bool {
+    let is_token_byte = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+    !name.is_empty() && name.bytes().all(is_token_byte)
+}
+
+/// Returns whether a value has no control bytes other than tabs (RFC 9110, section 5.5).
+fn is_field_value(value: &[u8]) -> bool {
+    value.iter().all(|byte| *byte == b'\t' || !byte.is_ascii_control())
+}
+
 /// Returns the span of `part` in the buffer that starts at address `base`. An empty part gets an empty span,
 /// since it need not lie in the buffer.
 fn span(base: usize, part: &[u8]) -> Span {
@@ -206,6 +228,12 @@
     Span { start: start as u32, end: (start + part.len()) as u32 }
 }
 
-fn spans(base: usize, fields: &[httparse::Header<'_>]) -> Vec<(Span, Span)> {
-    fields.iter().map(|field| (span(base, field.name.as_bytes()), span(base, field.value))).collect()
+/// Returns the spans of the names and values of `fields`. Their bytes are checked here as well, since the parser
+/// has different code for each processor architecture.
+fn spans(base: usize, fields: &[httparse::Header<'_>]) -> Result<Vec<(Span, Span)>, HeadError> {
+    if !fields.iter().all(|field| is_token(field.name) && is_field_value(field.value)) {
+        return Err(HeadError::Malformed);
+    }
+    let field_spans = fields.iter().map(|field| (span(base, field.name.as_bytes()), span(base, field.value)));
+    Ok(field_spans.collect())
 }
--- a/crates/proxy/src/http/mod.rs
+++ b/crates/proxy/src/http/mod.rs
@@ -10,6 +10,8 @@
 mod body_tests;
 mod framing;
 mod head;
+#[cfg(test)]
+mod head_tests;
 mod socket;
 mod write;
 
--- a/crates/proxy/tests/broken_responses.rs
+++ b/crates/proxy/tests/broken_responses.rs
@@ -11,7 +11,16 @@
 /// The header fields of a successful response to request `r1`.
 const FIELDS: &str = "Request-Id: r1\r\nServer-Stamp: s\r\n";
 /// Invalid heads of a response to `r1`, without the fields that announce the body and the final empty line.
-const BROKEN_HEADS: [&str; 1] = ["HTTP/1.1 000 X\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n"];
+const BROKEN_HEADS: [&str; 8] = [
+    "HTTP/1.1 000 X\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n",
+    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\nX Y: v\r\n",
+    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n X: v\r\n",
+    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\nX : v\r\n",
+    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\nX\u{0}Y: v\r\n",
+    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n\u{7f}X: v\r\n",
+    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n\nX: v\r\n",
+    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\nX: v\n\r\n",
+];
 /// The length of a body that exceeds the socket buffers of both ends.
 const LONG_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// A body with its framing: the header fields that announce it, and its bytes.
@@ -63,6 +72,26 @@
     }
 }
 
+#[rstest]
+#[case::length("Content-Length: 2\r\n", "no")]
+#[case::chunked("Transfer-Encoding: chunked\r\n", "2\r\nno\r\n0\r\n\r\n")]
+#[case::close("Connection: close\r\n", "no")]
+#[tokio::test]
+async fn response_with_an_invalid_head_is_not_forwarded(
+    #[case] framing: &str, #[case] body: &str, #[values("unsafe", "safe", "streaming")] kind: &'static str,
+    #[values(true, false)] is_framed_first: bool,
+) {
+    for head in BROKEN_HEADS {
+        let (status_line, fields) = head.split_once("\r\n").expect("the head has a status line");
+        let bytes = if is_framed_first {
+            format!("{status_line}\r\n{framing}{fields}\r\n{body}")
+        } else {
+            format!("{head}{framing}\r\n{body}")
+        };
+        expect_not_forwarded(scenario(kind), kind == "safe", &bytes).await;
+    }
+}
+
 #[rstest]
 #[case::unregistered_success("HTTP/1.1 299 Fine\r\n", "")]
 #[case::unregistered_error("HTTP/1.1 599 Odd\r\n", "")]
