Sidecar: reject answers whose head a single LF in a field ends early

What callers saw: where a server's answer had a field whose name began with a LF, behind the field that announces the length, the sidecar served a 200 with a body that was not the server's ("X:" for "no"). A server list could be read from such a head.

Cause: the HTTP library takes a single LF for a line ending, also in a head whose lines end with CRLF, so that the LF made the empty line that ends the head. It doesn't hand out the bytes of a head.

Evidence: `broken_answer_tests.rs` and `discovery_tests.rs` have servers that send invalid status codes, names with a blank, NUL, DEL or LF, truncated answers, and answers without a length that are closed or reset, also after an interim answer and, for lists, on a reused connection.

Why this works: `GatedStream` passes the bytes of each answer through `HeadCheck` before the library sees them. A head with a CR has to end with CRLF CRLF, as in the proxy; bodies are not looked at. A request that begins restarts the check, which discovery's calls now announce as well.

--- a/src/bin/lugwharf-sidecar/discovery/discovery_tests.rs
+++ b/src/bin/lugwharf-sidecar/discovery/discovery_tests.rs
@@ -32,6 +32,12 @@
     }
 }
 
+/// The text of an empty complete list. The JSON is indented, which is valid as well.
+fn empty_list(revision: u64) -> String {
+    let list = serde_json::json!({"revision": revision, "complete": true, "members": []});
+    serde_json::to_string_pretty(&list).expect("cannot encode the list as JSON")
+}
+
 /// A connection of the sidecar to the stub.
 struct StubConnection(TcpStream);
 
@@ -56,11 +62,13 @@
         head.split(' ').nth(1).expect("the head of the call has no path").to_owned()
     }
 
-    /// Answers a call with an empty complete list. The JSON is indented, which is valid as well.
+    /// Answers a call with an empty complete list.
     fn answer(&self, revision: u64) {
-        let list = serde_json::json!({"revision": revision, "complete": true, "members": []});
-        let body = serde_json::to_string_pretty(&list).expect("cannot encode the list as JSON");
-        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let body = empty_list(revision);
+        self.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    }
+
+    fn send(&self, text: &str) {
         assert_eq!(self.0.try_write(text.as_bytes()).expect("cannot write to the connection"), text.len());
     }
 
@@ -226,3 +234,31 @@
     call.0.try_write(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n").expect("cannot write to the connection");
     assert_eq!(follower.next_failure().await, ServerListEvent::Failed, "rejected");
 }
+
+/// The answers have a complete list, and follow a valid answer on the same connection.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_is_not_valid_or_not_complete_is_not_taken_for_a_list() {
+    let list = empty_list(102);
+    let (length, longer) = (list.len(), list.len() + 1);
+    for answer in [
+        format!("HTTP/1.1 000 X\r\nContent-Length: {length}\r\n\r\n{list}"),
+        format!("HTTP/1.1 200 OK\r\nX Y: v\r\nContent-Length: {length}\r\n\r\n{list}"),
+        format!("HTTP/1.1 200 OK\r\nX\u{1}: v\r\nContent-Length: {length}\r\n\r\n{list}"),
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\n{list}: v\r\n\r\n"),
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {longer}\r\n\r\n{list}"),
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{length:x}\r\n{list}\r\n"),
+        format!("HTTP/1.1 200 OK\r\n\r\n{list}"),
+    ] {
+        let stub = DiscoveryStub::start().await;
+        let mut follower = follow_from(&stub, "pushed");
+        let call = stub.accept().await;
+        call.read_path().await;
+        call.answer(101);
+        assert_eq!(follower.next_revision().await, 101);
+        call.read_path().await;
+        call.send(&answer);
+        call.reset();
+        // Panics if a list is handed to the driver.
+        follower.next_failure().await;
+    }
+}
--- a/src/bin/lugwharf-sidecar/discovery/follow.rs
+++ b/src/bin/lugwharf-sidecar/discovery/follow.rs
@@ -211,6 +211,7 @@
         };
         let request = Request::get(uri).header("Host", self.address.to_string()).body(Empty::new())?;
         connection.sender.ready().await?;
+        connection.begin_request(None);
         let answer = connection.sender.send_request(request).await?;
         let status = answer.status();
         let body = Limited::new(answer.into_body(), MAX_LIST_BYTES).collect().await;
--- a/src/bin/lugwharf-sidecar/gated_stream.rs
+++ b/src/bin/lugwharf-sidecar/gated_stream.rs
@@ -1,10 +1,11 @@
-//! A socket that can hold back the last byte of a request.
+//! A socket that can hold back the last byte of a request, and that checks the heads of answers.
 //!
 //! An upstream starts to execute a request when its last byte arrives. If a connection breaks before that
 //! byte is written, the request has not run and may be sent again. When an upstream has just closed an idle
 //! connection, the sidecar notices that only a round trip after it writes, so the last byte is delayed for a
 //! moment.
 
+use crate::head_check::HeadCheck;
 use crate::socket::{has_nothing_to_read, poll_read, poll_write};
 use socket2::SockRef;
 use std::future::Future;
@@ -31,14 +32,16 @@
 /// any machine.
 const LAST_BYTE_DELAY: Duration = if cfg!(test) { Duration::from_secs(1) } else { PRODUCTION_DELAY };
 
-/// The state of the current request: whether it is completely written, and whether its last byte is to be
-/// held back.
+/// The state of the current request: whether it is completely written, whether its last byte is to be held
+/// back, and whether its answer has begun.
 #[derive(Default)]
 pub struct LastByteGate {
     /// The last byte is held back at least until this time; `None` if the byte is not held back.
     held_until: Mutex<Option<Instant>>,
     /// Whether the last byte has certainly not been written.
     is_incomplete: AtomicBool,
+    /// Whether a request has begun and nothing has been read since.
+    is_answer_expected: AtomicBool,
 }
 
 impl LastByteGate {
@@ -51,6 +54,7 @@
     pub fn begin_request(&self, hold_until: Option<Instant>) {
         *self.held_until() = hold_until;
         self.is_incomplete.store(true, Ordering::Relaxed);
+        self.is_answer_expected.store(true, Ordering::Relaxed);
     }
 }
 
@@ -72,13 +76,15 @@
 pub struct GatedStream {
     socket: Arc<TcpStream>,
     gate: Arc<LastByteGate>,
+    /// The check of the answer to the current request.
+    head_check: HeadCheck,
     /// The wait until the last byte may be written, once it has begun.
     wait: Option<Pin<Box<Sleep>>>,
 }
 
 impl GatedStream {
     pub fn new(socket: Arc<TcpStream>, gate: Arc<LastByteGate>) -> Self {
-        GatedStream { socket, gate, wait: None }
+        GatedStream { socket, gate, head_check: HeadCheck::default(), wait: None }
     }
 
     /// Waits until the last byte may be written, and checks that nothing has arrived meanwhile.
@@ -99,7 +105,15 @@
 
 impl AsyncRead for GatedStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        poll_read(&self.socket, cx, buf)
+        let this = self.get_mut();
+        let already_filled = buf.filled().len();
+        ready!(poll_read(&this.socket, cx, buf))?;
+        if this.gate.is_answer_expected.swap(false, Ordering::Relaxed) {
+            this.head_check = HeadCheck::default();
+        }
+        let received = buf.filled().get(already_filled..).unwrap_or_default();
+        let checked = this.head_check.push(received);
+        Poll::Ready(checked.map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error)))
     }
 }
 
--- a/src/bin/lugwharf-sidecar/main.rs
+++ b/src/bin/lugwharf-sidecar/main.rs
@@ -9,6 +9,7 @@
 mod driver;
 mod events;
 mod gated_stream;
+mod head_check;
 mod pool;
 mod request;
 mod server;
--- a/src/bin/lugwharf-sidecar/upstream/mod.rs
+++ b/src/bin/lugwharf-sidecar/upstream/mod.rs
@@ -8,5 +8,7 @@
 pub use exchange::MAX_BODY_BYTES;
 pub use probe::probe;
 
+#[cfg(test)]
+mod broken_answer_tests;
 #[cfg(test)]
 mod upstream_tests;
