Control: reject responses whose head a single LF in a field ends early

What callers saw: an order to a model server counted as accepted, a report and a page of the server list were read, although the head of the response had a field whose name began with a LF, or a value that ended with one.

Cause: as in the proxy and the sidecar: the HTTP library takes a single LF for a line ending, so that the LF ends the head, and doesn't hand out its bytes.

Evidence: servers that send such a response, or one with an invalid status code, a blank or a control byte in a name, a body that is cut off or has no length before a reset, to an order, for a report, and for the first and third page on one connection.

Why this works: the two places that open connections, `platform_client` and `leased_call`, wrap the socket in `CheckedStream`, which passes what is read through `HeadCheck` and fails with `InvalidData` at an ambiguous head. A write after a complete head begins the next request. The new crate `http-head` has these, and the checks that the proxy and the emulator had each for themselves. The sidecar shares no code with the fleet and keeps its own.

--- a/crates/control/src/leased_call.rs
+++ b/crates/control/src/leased_call.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use lugwharf_election::FencingToken;
+use lugwharf_http_head::CheckedStream;
 use lugwharf_invariants::{Invariant, check};
 use socket2::SockRef;
 use std::net::SocketAddr;
@@ -89,7 +90,7 @@
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
-    let (mut sender, connection) = handshake(TokioIo::new(stream)).await?;
+    let (mut sender, connection) = handshake(TokioIo::new(CheckedStream::new(stream))).await?;
     if !lease.holds(token) {
         return Err(CallError::LeaseEnded);
     }
--- a/crates/control/src/orders_tests.rs
+++ b/crates/control/src/orders_tests.rs
@@ -112,6 +112,26 @@
 #[case::failed(500, OrderOutcome::Unknown)]
 #[tokio::test]
 async fn outcome_follows_from_the_status(#[case] status: u16, #[case] expected: OrderOutcome) {
+    let response = format!("HTTP/1.1 {status} x\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(send_order_answered_by(response).await, expected);
+}
+
+/// A response that is not valid HTTP/1.1 says nothing about the order.
+#[rstest]
+#[case::status_below_the_range("HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n")]
+#[case::status_above_the_range("HTTP/1.1 999 x\r\nContent-Length: 0\r\n\r\n")]
+#[case::blank_in_a_name("HTTP/1.1 202 x\r\nX Y: v\r\nContent-Length: 0\r\n\r\n")]
+#[case::control_byte_in_a_name("HTTP/1.1 202 x\r\nX\u{1}: v\r\nContent-Length: 0\r\n\r\n")]
+#[case::newline_before_a_name("HTTP/1.1 202 x\r\n\nX: v\r\nContent-Length: 0\r\n\r\n")]
+#[case::newline_after_an_interim_response("HTTP/1.1 100 x\r\n\r\nHTTP/1.1 202 x\r\n\nX: v\r\n\r\n")]
+#[case::newline_after_a_value("HTTP/1.1 202 x\r\nX: v\n\r\nContent-Length: 0\r\n\r\n")]
+#[tokio::test]
+async fn invalid_response_to_an_order_leaves_its_outcome_unknown(#[case] response: &str) {
+    assert_eq!(send_order_answered_by(response.to_owned()).await, OrderOutcome::Unknown);
+}
+
+/// Sends an order to a server that responds with these bytes, and returns its outcome.
+async fn send_order_answered_by(response: String) -> OrderOutcome {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("cannot bind a listener");
     let address = listener.local_addr().expect("cannot read the address of the listener");
     tokio::spawn(async move {
@@ -123,11 +143,10 @@
                 "the request ended early"
             );
         }
-        let response = format!("HTTP/1.1 {status} x\r\nContent-Length: 0\r\n\r\n");
         stream.write_all(response.as_bytes()).await.expect("cannot write the response");
         stream.read_to_end(&mut received).await
     });
-    assert_eq!(send_order(address, Instant::now() + LONG).await, expected);
+    send_order(address, Instant::now() + LONG).await
 }
 
 /// An order must not be sent if its lease was resigned while the order was queued, although the lease would
--- a/crates/control/src/platform_client.rs
+++ b/crates/control/src/platform_client.rs
@@ -11,6 +11,7 @@
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use lugwharf_http_head::CheckedStream;
 use lugwharf_protocol::{ModelEntry, ServerEntry, ServerState, Stage};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -18,6 +19,10 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+#[cfg(test)]
+#[path = "platform_client_tests.rs"]
+mod platform_client_tests;
+
 /// The timeout of one page, which normally takes a few ms. If the platform takes longer, it may still respond
 /// to another process.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -184,7 +189,7 @@
 async fn connect(address: SocketAddr) -> Result<SendRequest<Empty<Bytes>>, PlatformError> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+    let (sender, connection) = handshake(TokioIo::new(CheckedStream::new(stream))).await?;
     tokio::spawn(connection);
     Ok(sender)
 }
--- a/crates/control/src/server_reports_tests.rs
+++ b/crates/control/src/server_reports_tests.rs
@@ -18,9 +18,17 @@
 /// Requests the report of a server that responds with this status and body, under a lease with the token
 /// `held`. Returns the request that the server received and the report that was read.
 async fn request_report(held: FencingToken, status: &str, body: &str) -> (String, Option<StageReport>) {
+    let response = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    request_report_answered_by(held, response, false).await
+}
+
+/// Requests the report of a server that responds with these bytes, and then resets the connection if `resets`
+/// is set.
+async fn request_report_answered_by(
+    held: FencingToken, response: String, resets: bool,
+) -> (String, Option<StageReport>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("cannot bind a listener");
     let address = listener.local_addr().expect("cannot read the address of the listener");
-    let response = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
     let server = tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.expect("cannot accept a connection");
         let mut received = Vec::new();
@@ -31,7 +39,12 @@
         }
         // The write fails if the caller has closed the connection.
         let _ = stream.write_all(response.as_bytes()).await;
-        let _ = stream.read_to_end(&mut Vec::new()).await;
+        if resets {
+            let socket = socket2::SockRef::from(&stream);
+            socket.set_linger(Some(Duration::ZERO)).expect("cannot set the socket option");
+        } else {
+            let _ = stream.read_to_end(&mut Vec::new()).await;
+        }
         String::from_utf8(received)
             .expect("the received text is not UTF-8")
             .replace(&address.to_string(), "ADDRESS")
@@ -79,6 +92,21 @@
     assert_eq!(request_report(TOKEN, status, body).await.1, None);
 }
 
+/// Each response has a report. It is not valid HTTP/1.1, or its end is missing.
+#[rstest]
+#[case::status_below_the_range("HTTP/1.1 000 X\r\nContent-Length: 18\r\n\r\n", false)]
+#[case::blank_in_a_name("HTTP/1.1 200 OK\r\nX Y: v\r\nContent-Length: 18\r\n\r\n", false)]
+#[case::control_byte_in_a_name("HTTP/1.1 200 OK\r\nX\u{1}: v\r\nContent-Length: 18\r\n\r\n", false)]
+#[case::newline_before_a_name("HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\n", false)]
+#[case::without_a_length("HTTP/1.1 200 OK\r\n\r\n", true)]
+#[case::length("HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n", true)]
+#[case::chunked("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n12\r\n", true)]
+#[tokio::test]
+async fn report_in_an_invalid_or_incomplete_response_is_ignored(#[case] head: &str, #[case] resets: bool) {
+    let response = format!(r#"{head}{{"Stage":"decode"}}"#);
+    assert_eq!(request_report_answered_by(TOKEN, response, resets).await.1, None);
+}
+
 #[tokio::test]
 async fn no_report_is_requested_after_the_lease_is_lost() {
     let (received, report) =
--- a/crates/emulator/src/wire/connection.rs
+++ b/crates/emulator/src/wire/connection.rs
@@ -4,10 +4,10 @@
 use super::framing::Framing;
 use super::message::{Headers, Request, Response};
 use bytes::{Buf, Bytes, BytesMut};
+use lugwharf_http_head::{has_ambiguous_end, is_status_code, is_token};
 use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -18,8 +18,6 @@
 pub const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// The maximum number of headers of a message.
 const MAX_HEADERS: usize = 64;
-/// The valid status codes (RFC 9110, section 15). The parser accepts any three digits.
-const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 /// The maximum number of bytes that may arrive without the end of a chunk-size or trailer line.
 const MAX_CHUNK_LINE_BYTES: usize = 64;
 
@@ -217,7 +215,7 @@
         if has_ambiguous_end(&self.buffer[..length]) {
             return Err(WireError::Malformed("a head with CRLF line endings does not end with two of them"));
         }
-        let code = head.code.filter(|code| STATUS_CODES.contains(code));
+        let code = head.code.filter(|code| is_status_code(*code));
         let mut response = Response::new(code.ok_or(WireError::Malformed("invalid status code"))?);
         response.headers = convert_headers(head.headers)?;
         self.buffer.advance(length);
@@ -229,22 +227,10 @@
     }
 }
 
-/// Whether a head with CRLF line endings does not end with CRLF CRLF. The parser then took a single LF, which
-/// belongs to the name or the value of a header, for a line ending.
-fn has_ambiguous_end(head: &[u8]) -> bool {
-    head.contains(&b'\r') && !head.ends_with(b"\r\n\r\n")
-}
-
-/// Whether a name consists of visible ASCII characters. The parser has different code for each processor
-/// architecture.
-fn is_header_name(name: &str) -> bool {
-    !name.is_empty() && name.bytes().all(|byte| byte.is_ascii_graphic())
-}
-
 fn convert_headers(parsed: &[httparse::Header<'_>]) -> Result<Headers, WireError> {
     let mut headers = Headers::new();
     for header in parsed {
-        if !is_header_name(header.name) {
+        if !is_token(header.name) {
             return Err(WireError::Malformed("invalid header name"));
         }
         let value = std::str::from_utf8(header.value)
--- a/crates/proxy/src/http/head.rs
+++ b/crates/proxy/src/http/head.rs
@@ -1,12 +1,10 @@
 //! The heads of requests and responses, stored as raw bytes and the spans of their fields.
 
 use bytes::{Bytes, BytesMut};
-use std::ops::RangeInclusive;
+use lugwharf_http_head::{has_ambiguous_end, is_field_value, is_status_code, is_token};
 
 /// The maximum number of header fields in a head.
 const MAX_FIELDS: usize = 96;
-/// The valid status codes (RFC 9110, section 15). The parser accepts any three digits.
-const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 
 /// Why a head was rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -180,7 +178,7 @@
     }
     let base = buffer.as_ptr() as usize;
     let reason = span(base, response.reason.unwrap_or_default().as_bytes());
-    let status = response.code.filter(|code| STATUS_CODES.contains(code)).ok_or(HeadError::Malformed)?;
+    let status = response.code.filter(|code| is_status_code(*code)).ok_or(HeadError::Malformed)?;
     let is_http10 = response.version == Some(0);
     let fields = spans(base, response.headers)?;
     let headers = Headers { raw: buffer.split_to(length).freeze(), fields };
@@ -200,24 +198,6 @@
     head.windows(2).any(|pair| pair[1] == b'\n' && pair[0] != b'\r') || head.first() == Some(&b'\n')
 }
 
-/// Returns whether a head with CRLF line endings does not end with CRLF CRLF. The parser then took a single LF
-/// for a line ending, and the rest of the head for a body, where the LF belongs to the name or the value of a
-/// field.
-fn has_ambiguous_end(head: &[u8]) -> bool {
-    head.contains(&b'\r') && !head.ends_with(b"\r\n\r\n")
-}
-
-/// Returns whether a name is a token (RFC 9110, section 5.6.2).
-fn is_token(name: &str) -> bool {
-    let is_token_byte = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
-    !name.is_empty() && name.bytes().all(is_token_byte)
-}
-
-/// Returns whether a value has no control bytes other than tabs (RFC 9110, section 5.5).
-fn is_field_value(value: &[u8]) -> bool {
-    value.iter().all(|byte| *byte == b'\t' || !byte.is_ascii_control())
-}
-
 /// Returns the span of `part` in the buffer that starts at address `base`. An empty part gets an empty span,
 /// since it need not lie in the buffer.
 fn span(base: usize, part: &[u8]) -> Span {
