--- a/crates/proxy/src/http/head_tests.rs
+++ b/crates/proxy/src/http/head_tests.rs
@@ -75,10 +75,12 @@
 }
 
 /// A recipient may take a single LF for the end of a line (RFC 9112, section 2.2).
-#[test]
-fn head_whose_lines_all_end_with_a_newline_is_accepted() {
-    let head = parse(b"HTTP/1.1 200 OK\nX: v\n\nbody").expect("the head is valid");
-    assert_eq!(head.expect("the head is complete").headers.get("x"), Some(&b"v"[..]));
+#[rstest]
+#[case::on_each_line(b"HTTP/1.1 200 OK\nX: v\n\nbody")]
+#[case::between_two_fields(b"HTTP/1.1 200 OK\r\nX: v\nY: v\r\n\r\nbody")]
+fn line_that_ends_with_a_newline_alone_is_accepted(#[case] text: &[u8]) {
+    let head = parse(text).expect("the head is valid").expect("the head is complete");
+    assert_eq!(head.headers.get("x"), Some(&b"v"[..]));
 }
 
 #[test]
--- a/crates/proxy/tests/early_responses.rs
+++ b/crates/proxy/tests/early_responses.rs
@@ -125,10 +125,12 @@
 #[tokio::test]
 async fn early_response_without_a_length_that_is_reset_is_not_forwarded(
     #[case] kind: &'static str, #[case] version: &str, #[case] status: u16,
+    #[values("", "HTTP/1.1 100 Continue\r\n\r\n")] interim: &str,
 ) {
     with_proxy(long_bodies(kind), async |proxy| {
         let (mut client, mut server) = send_long_request(proxy).await;
-        server.send(&format!("{HEAD_WITHOUT_LENGTH}\r\nhalf").replace("HTTP/1.1", version)).await;
+        let response = format!("{HEAD_WITHOUT_LENGTH}\r\nhalf").replace("HTTP/1.1", version);
+        server.send(&format!("{interim}{response}")).await;
         server.reset();
         let response = tokio::select! {
             response = client.read_message() => response.expect("a complete response is received"),
@@ -144,6 +146,19 @@
     .await;
 }
 
+#[tokio::test]
+async fn early_response_that_is_reset_on_a_reused_connection_is_not_forwarded() {
+    with_proxy(long_bodies("unsafe"), async |proxy| {
+        let (mut client, mut server) = proxy.idle_connections().await;
+        client.send(&request("r1", "", &"x".repeat(LONG_BODY_BYTES))).await;
+        assert!(server.read_head().await.is_some());
+        server.send(&format!("{HEAD_WITHOUT_LENGTH}\r\nhalf")).await;
+        server.reset();
+        assert_eq!(client.read_response().await.status(), 502);
+    })
+    .await;
+}
+
 /// A part of the response has been forwarded when its end is found to be missing.
 #[rstest]
 #[case::long("unsafe", 70_000)]
