Keep the first failure of a connection, as its comment says

What callers saw: nothing; only the kind of the error in `ReadError::Io` could be that of a later operation.

Cause: `Connection::record_failure` kept the kind of the last error.

Evidence: reading; any kind ends a body without a length the same way, so no test can tell the two apart by an answer.

Change: the first kind is kept.

Measured: 25 tests of `early_responses.rs` and 2 of `connection_tests.rs` pass.

--- a/crates/proxy/src/outbound/connection.rs
+++ b/crates/proxy/src/outbound/connection.rs
@@ -162,8 +162,9 @@
         written
     }
 
-    /// Keeps the kind of the error if an operation on the socket failed. The kernel reports the failure of a
-    /// connection to one operation only: later reads return the end of the stream, as after an orderly close.
+    /// Keeps the kind of the error of the first operation on the socket that failed. The kernel reports the
+    /// failure of a connection to one operation only: later reads return the end of the stream, as after an
+    /// orderly close.
     ///
     /// A write fails with `EPIPE` after the server closed its sending direction in an orderly way, or if
     /// another operation has met the failure before. It is therefore not a failure of the receiving direction.
@@ -171,7 +172,7 @@
         if let Err(error) = result
             && !matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::BrokenPipe)
         {
-            self.failure = Some(error.kind());
+            self.failure = self.failure.or(Some(error.kind()));
         }
     }
 
