Test that a truncated response is reset for an HTTP/1.0 client

What callers saw: an HTTP/1.0 client takes the close of its connection for the end of a body without a length.

Cause: no test had such a client; the reset of its connection held by reading alone.

--- a/crates/proxy/tests/early_responses.rs
+++ b/crates/proxy/tests/early_responses.rs
@@ -6,6 +6,7 @@
 use rstest::rstest;
 use support::prefill::*;
 use support::*;
+use tokio::io::AsyncReadExt;
 
 /// The length of a body that exceeds the socket buffers of both ends.
 const LONG_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -261,3 +262,35 @@
     })
     .await;
 }
+
+/// An HTTP/1.0 client takes the close of its connection for the end of a body without a length, so that the
+/// connection is reset if the body is truncated.
+#[rstest]
+#[case::early_and_reset(LONG_BODY_BYTES, true)]
+#[case::reset(4, true)]
+#[case::complete(4, false)]
+#[tokio::test]
+async fn truncated_response_is_reset_for_an_http_1_0_client(
+    #[case] request_bytes: usize, #[case] is_reset: bool,
+) {
+    with_proxy(long_bodies("streaming"), async |proxy| {
+        let mut client = proxy.connect().await;
+        client.send(&request("r1", "", &"x".repeat(request_bytes)).replacen("HTTP/1.1", "HTTP/1.0", 1)).await;
+        let (mut server, _) = proxy.accept_any(&PLAIN_SERVERS).await;
+        assert!(server.read_head().await.is_some());
+        if request_bytes < LONG_BODY_BYTES {
+            assert!(server.read_exactly(request_bytes).await.is_some());
+        }
+        server.send(&format!("{HEAD_WITHOUT_LENGTH}\r\nhalf")).await;
+        if is_reset {
+            server.reset();
+        } else {
+            drop(server);
+        }
+        let mut received = Vec::new();
+        let end = client.stream.read_to_end(&mut received).await.map_err(|error| error.kind());
+        assert!(received.ends_with(b"\r\n\r\nhalf"), "{}", received.escape_ascii());
+        assert_eq!(end.err(), is_reset.then_some(std::io::ErrorKind::ConnectionReset));
+    })
+    .await;
+}
