Move the reservation of memory for bodies to a module of its own

Cause: request_reader.rs held the reader of a client connection and the accounting of the memory for bodies, which all connections share. Change: inbound/body_reservation.rs; its error is the RequestError itself, which the reader wraps.

--- a/crates/proxy/src/inbound/connection.rs
+++ b/crates/proxy/src/inbound/connection.rs
@@ -1,9 +1,10 @@
 //! A client connection, which serves its requests one after the other.
 
 use crate::http::{self, Fill};
+use crate::inbound::body_reservation::BodyReservation;
 use crate::inbound::connections::ConnectionSlot;
 use crate::inbound::request::ClientRequest;
-use crate::inbound::request_reader::{BodyReservation, ReadFailure, RequestReader};
+use crate::inbound::request_reader::{ReadFailure, RequestReader};
 use crate::inbound::response_writer::{ResponseEnd, ResponseWriter};
 use crate::stack::service;
 use crate::state::ProxyState;
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -1,5 +1,6 @@
 //! The client side: connections, requests, and responses.
 
+pub mod body_reservation;
 pub mod connection;
 pub mod connections;
 #[cfg(test)]
--- a/crates/proxy/src/inbound/request_reader.rs
+++ b/crates/proxy/src/inbound/request_reader.rs
@@ -1,9 +1,9 @@
 //! The reading side of a client connection: reads requests, and detects that the client disconnects.
 
 use crate::http::{self, BodyDecoder, Decoded, Fill, Framing, HeadError, RequestHead, request_framing};
+use crate::inbound::body_reservation::BodyReservation;
 use crate::inbound::connections::ConnectionSlot;
 use crate::inbound::error_response::RequestError;
-use crate::state::ProxyState;
 use bytes::{Bytes, BytesMut};
 use lugwharf_config::Limits;
 use std::time::Duration;
@@ -38,35 +38,6 @@
     Rejected(#[source] RequestError),
 }
 
-/// A reservation in the process's memory for request bodies. Dropping it releases the memory.
-pub struct BodyReservation<'a> {
-    state: &'a ProxyState,
-    bytes: u64,
-}
-
-impl<'a> BodyReservation<'a> {
-    /// Creates a reservation of zero bytes.
-    pub fn new(state: &'a ProxyState) -> BodyReservation<'a> {
-        BodyReservation { state, bytes: 0 }
-    }
-
-    /// Reserves more bytes, or fails with [`RequestError::Saturated`] if they are not available.
-    fn extend(&mut self, bytes: usize) -> Result<(), ReadFailure> {
-        let free = self.state.free_body_bytes.get();
-        let remaining =
-            free.checked_sub(bytes as u64).ok_or(ReadFailure::Rejected(RequestError::Saturated))?;
-        self.state.free_body_bytes.set(remaining);
-        self.bytes += bytes as u64;
-        Ok(())
-    }
-}
-
-impl Drop for BodyReservation<'_> {
-    fn drop(&mut self) {
-        self.state.release_body_bytes(self.bytes);
-    }
-}
-
 /// Reads the requests of one client connection.
 pub struct RequestReader<'a> {
     read: ReadHalf<'a>,
@@ -192,7 +163,7 @@
                     if body.len() + data.len() > limits.max_body_bytes {
                         return Err(ReadFailure::Rejected(RequestError::BodyTooLarge));
                     }
-                    reservation.extend(data.len())?;
+                    reservation.extend(data.len()).map_err(ReadFailure::Rejected)?;
                     if body.is_empty() && decoder.is_done() {
                         // The complete body was received in one piece and need not be copied.
                         return Ok(data);
