Judge a request by the limits in force when its first bytes arrive

What callers saw: after a configuration had raised MaxBodyBytes, the next request on each kept connection was still rejected with 413, whatever the age of the change; after one that lowered it, such a request was let through once more. The same with MaxHeaderBytes (431) and HeaderTimeoutMs (408).

Cause: `serve_request` took the limits, and only then waited for the request. A connection rests in that wait, so that the next request on it was judged by the version in force when the rest began. Requests that arrive behind another one had the opposite fault: they were judged by the version in force at their turn, not by that at their arrival.

Change: `RequestReader` notes the arrival of the first bytes with the limits in force at that moment, also for bytes that are read ahead while another request is served. The head and the body are judged by these, so by one version.

Why it works: the limits are read after the wait, in the same poll that received the bytes, and updates are applied between two polls of the only thread.

--- a/crates/proxy/src/inbound/connection.rs
+++ b/crates/proxy/src/inbound/connection.rs
@@ -28,7 +28,7 @@
 /// Serves a connection until it closes.
 pub async fn serve(state: &Rc<ProxyState>, mut stream: TcpStream, slot: &ConnectionSlot) {
     let (read, mut write) = stream.split();
-    let mut reader = RequestReader::new(read);
+    let mut reader = RequestReader::new(read, state);
     loop {
         slot.idle_since.set(Some(Instant::now()));
         // Boxed, so that a connection between requests does not hold the large future of a request.
@@ -52,15 +52,14 @@
 async fn serve_request(
     state: &Rc<ProxyState>, reader: &mut RequestReader<'_>, write: &mut WriteHalf<'_>, slot: &ConnectionSlot,
 ) -> Result<ResponseEnd, ReadFailure> {
-    let limits = state.limits();
-    let arrived = reader.wait_for_request(&limits, slot).await?;
+    let arrival = reader.wait_for_request(slot).await?;
     slot.idle_since.set(None);
-    let head = reader.read_head(&limits).await?;
-    let deadline = service::route_timeout(state, &head).map(|timeout| arrived + timeout);
+    let head = reader.read_head(&arrival.limits).await?;
+    let deadline = service::route_timeout(state, &head).map(|timeout| arrival.at + timeout);
     let mut reservation = BodyReservation::new(state);
-    let body = reader.read_body(write, &head, &limits, deadline, &mut reservation).await?;
+    let body = reader.read_body(write, &head, &arrival.limits, deadline, &mut reservation).await?;
     let has_body = body.is_some();
-    let request = ClientRequest { head, body: body.unwrap_or_default(), has_body, arrived };
+    let request = ClientRequest { head, body: body.unwrap_or_default(), has_body, arrived: arrival.at };
     let trace = RequestTrace::default();
     let _guard = TraceGuard::new(&trace, state, &request);
     // The client may have closed the connection right after the request, while this process was busy or
--- a/crates/proxy/src/inbound/request_reader.rs
+++ b/crates/proxy/src/inbound/request_reader.rs
@@ -4,6 +4,7 @@
 use crate::inbound::body_reservation::BodyReservation;
 use crate::inbound::connections::ConnectionSlot;
 use crate::inbound::error_response::RequestError;
+use crate::state::ProxyState;
 use bytes::{Bytes, BytesMut};
 use lugwharf_config::Limits;
 use std::time::Duration;
@@ -38,19 +39,35 @@
     Rejected(#[source] RequestError),
 }
 
+/// The arrival of the first bytes of a request.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When the bytes were received.
+    pub at: Instant,
+    /// The limits in force at that time, by which the head and the body of the request are judged.
+    pub limits: Limits,
+}
+
+impl Arrival {
+    /// Returns an arrival at the present time.
+    fn now(state: &ProxyState) -> Arrival {
+        Arrival { at: Instant::now(), limits: state.limits() }
+    }
+}
+
 /// Reads the requests of one client connection.
 pub struct RequestReader<'a> {
     read: ReadHalf<'a>,
+    state: &'a ProxyState,
     buffer: BytesMut,
-    /// When the first bytes after the request in progress were received. They belong to the next request,
-    /// which counts as arrived at that time.
-    read_ahead_since: Option<Instant>,
+    /// The arrival of the first bytes after the request in progress. They belong to the next request.
+    read_ahead: Option<Arrival>,
 }
 
 impl<'a> RequestReader<'a> {
     /// Creates a reader for one connection.
-    pub fn new(read: ReadHalf<'a>) -> RequestReader<'a> {
-        RequestReader { read, buffer: BytesMut::new(), read_ahead_since: None }
+    pub fn new(read: ReadHalf<'a>, state: &'a ProxyState) -> RequestReader<'a> {
+        RequestReader { read, state, buffer: BytesMut::new(), read_ahead: None }
     }
 
     /// Returns the reading side of the connection. Bytes that were read ahead are dropped.
@@ -58,22 +75,20 @@
         self.read
     }
 
-    /// Waits for a request, and returns the time at which its first bytes were received.
-    pub async fn wait_for_request(
-        &mut self, limits: &Limits, slot: &ConnectionSlot,
-    ) -> Result<Instant, ReadFailure> {
+    /// Waits for the first bytes of a request.
+    pub async fn wait_for_request(&mut self, slot: &ConnectionSlot) -> Result<Arrival, ReadFailure> {
         if self.buffer.is_empty() {
             // Frees the buffer while the connection is idle.
             self.buffer = BytesMut::new();
-            self.wait_readable(limits, slot).await?;
+            self.wait_readable(slot).await?;
         }
-        Ok(self.read_ahead_since.take().unwrap_or_else(Instant::now))
+        Ok(self.read_ahead.take().unwrap_or_else(|| Arrival::now(self.state)))
     }
 
     /// Waits for the first byte of a request, until the idle timeout or a request to close.
-    async fn wait_readable(&mut self, limits: &Limits, slot: &ConnectionSlot) -> Result<(), ReadFailure> {
-        let timeout = Duration::from_millis(limits.idle_timeout_ms).max(MIN_IDLE_TIMEOUT) + IDLE_GRACE;
-        let deadline = Instant::now() + timeout;
+    async fn wait_readable(&mut self, slot: &ConnectionSlot) -> Result<(), ReadFailure> {
+        let idle_timeout = Duration::from_millis(self.state.limits().idle_timeout_ms);
+        let deadline = Instant::now() + idle_timeout.max(MIN_IDLE_TIMEOUT) + IDLE_GRACE;
         tokio::select! {
             biased;
             ready = self.read.readable() => ready.map_err(|_| ReadFailure::Disconnected),
@@ -199,7 +214,7 @@
     pub async fn wait_for_disconnect(&mut self) {
         loop {
             if !self.buffer.is_empty() {
-                self.read_ahead_since.get_or_insert_with(Instant::now);
+                self.read_ahead.get_or_insert_with(|| Arrival::now(self.state));
             }
             if self.buffer.len() >= MAX_READ_AHEAD_BYTES {
                 return self.wait_for_close_without_reading().await;
--- a/crates/proxy/tests/support/harness.rs
+++ b/crates/proxy/tests/support/harness.rs
@@ -1,8 +1,9 @@
 //! A running proxy, with an agent, servers and clients that the test controls.
 
 use super::connection::{Connection, Message};
-use super::messages::{ok_response, request};
+use super::messages::{ok_response, request, unrouted_request};
 use super::scenario::{PLAIN_SERVERS, Route, Scenario};
+use lugwharf_config::Limits;
 use lugwharf_protocol::{
     ConfigRecord, FeedMessage, FleetSummary, ProxyReport, ServerDelta, ServerEntry, ServerState,
     TablePosition, Update, VersionVector, read_frame, write_frame,
@@ -98,7 +99,8 @@
     agent_listener: TcpListener,
     list_sequence: u64,
     is_model: bool,
-    max_body_bytes: usize,
+    /// The limits in the next configuration that the agent sends.
+    pub limits: Limits,
     stop: Option<oneshot::Sender<()>>,
 }
 
@@ -118,7 +120,7 @@
             agent_listener,
             list_sequence: 0,
             is_model: scenario.is_model,
-            max_body_bytes: scenario.max_body_bytes,
+            limits: scenario.limits.clone(),
             stop: Some(stop),
         };
         proxy.start_servers(scenario).await;
@@ -163,10 +165,12 @@
     pub async fn configure(&mut self, version: u64, routes: &[Route]) -> VersionVector {
         let engine = if self.is_model { r#","Engine":{"Slots":8}"# } else { "" };
         let routes: Vec<String> = routes.iter().map(Route::to_json).collect();
-        let (routes, max_body_bytes) = (routes.join(","), self.max_body_bytes);
+        let routes = routes.join(",");
+        let Limits { max_header_bytes, max_body_bytes, header_timeout_ms, idle_timeout_ms } = self.limits;
         let text = format!(
             r#"{{"Version":{version},"Routes":[{routes}],"Services":[{{"Name":"s"{engine}}}],
-            "Limits":{{"MaxHeaderBytes":4096,"MaxBodyBytes":{max_body_bytes},"HeaderTimeoutMs":500,"IdleTimeoutMs":4000}}}}"#
+            "Limits":{{"MaxHeaderBytes":{max_header_bytes},"MaxBodyBytes":{max_body_bytes},
+            "HeaderTimeoutMs":{header_timeout_ms},"IdleTimeoutMs":{idle_timeout_ms}}}}}"#
         );
         let config = Some(ConfigRecord { version, bytes: text.into_bytes() });
         self.update(Update { config, ..Update::default() }).await
@@ -290,6 +294,13 @@
         (client, server)
     }
 
+    /// Returns once the proxy has received all bytes that were sent to it before this call.
+    pub async fn wait_until_received(&self) {
+        let mut client = self.connect().await;
+        client.send(&unrouted_request("GET", "", "")).await;
+        assert_eq!(client.read_response().await.status(), 404);
+    }
+
     /// Returns the status of the response to a readiness check.
     pub async fn readiness_status(&self) -> u16 {
         let mut check = Connection::new(
--- a/crates/proxy/tests/support/messages.rs
+++ b/crates/proxy/tests/support/messages.rs
@@ -10,6 +10,11 @@
     )
 }
 
+/// Returns a request that no route matches, so that its response is 404 unless it violates a limit.
+pub fn unrouted_request(method: &str, headers: &str, body: &str) -> String {
+    format!("{method} /none/ HTTP/1.1\r\nHost: {HOST}\r\n{headers}\r\n{body}")
+}
+
 /// The end of `request(id, headers, "body")` without its last byte.
 pub const ALL_BUT_LAST_BYTE: &str = "\r\n\r\nbod";
 
--- a/crates/proxy/tests/support/scenario.rs
+++ b/crates/proxy/tests/support/scenario.rs
@@ -1,6 +1,7 @@
 //! The initial state of a test.
 
 use super::harness::{ProcessSetup, TestProxy};
+use lugwharf_config::Limits;
 use lugwharf_protocol::Stage;
 use lugwharf_proxy::{ProxyOptions, run_until};
 use std::fmt::Write;
@@ -75,6 +76,10 @@
     }
 }
 
+/// The limits of a scenario, unless it sets others.
+const LIMITS: Limits =
+    Limits { max_header_bytes: 4_096, max_body_bytes: 1_000, header_timeout_ms: 500, idle_timeout_ms: 4_000 };
+
 /// The first configuration and endpoint list of a proxy, and its limits.
 #[derive(Clone, Debug)]
 pub struct Scenario {
@@ -84,7 +89,7 @@
     pub(super) is_model: bool,
     pub(super) retry_budget: f64,
     pub(super) is_configured: bool,
-    pub(super) max_body_bytes: usize,
+    pub(super) limits: Limits,
 }
 
 impl Scenario {
@@ -97,7 +102,7 @@
             is_model: false,
             retry_budget: 0.2,
             is_configured: true,
-            max_body_bytes: 1_000,
+            limits: LIMITS,
         }
     }
 
@@ -144,7 +149,12 @@
 
     /// Sets the maximum size of a body that clients may send.
     pub fn max_body_bytes(self, max_body_bytes: usize) -> Scenario {
-        Scenario { max_body_bytes, ..self }
+        self.limits(Limits { max_body_bytes, ..LIMITS })
+    }
+
+    /// Sets the limits on what clients may send.
+    pub fn limits(self, limits: Limits) -> Scenario {
+        Scenario { limits, ..self }
     }
 
     /// Makes the proxy start without a configuration and an endpoint list.
