Wait for a byte of the next request, not for readiness without one

What callers saw: a client that opened a connection ahead of use and rested on it for longer than HeaderTimeoutMs found it closed without a response, and its request lost, although it kept to four fifths of IdleTimeoutMs. So did a client whose earlier request had filled the proxy's read buffer exactly. On such a connection the limits were still those in force when the wait began. It also counted as busy: it was not closed to make room for others, and an end of the process waited for it.

Cause: the wait for a request ended with `readable()`, which the runtime may complete without input. It does so on a connection that was never read, and after a read that fills its buffer. The reader then waited for the head under the head's timeout, with the limits taken before.

Change: `fill_lazily` waits and reads in one step, and allocates its buffer only when the socket is reported as readable. The wait ends with bytes, the end of the stream, a failure, a request to close or the idle timeout.

Why it works: a read without input clears the readiness and registers the task again, so that only the kernel's report of new input wakes it.

--- a/crates/proxy/src/http/mod.rs
+++ b/crates/proxy/src/http/mod.rs
@@ -19,7 +19,8 @@
 pub use framing::{Framing, FramingError, request_framing, response_framing};
 pub use head::{HeadError, RequestHead, ResponseHead, parse_request, parse_response};
 pub use socket::{
-    Fill, fill, has_nothing_to_read, is_closed_by_peer, read_without_runtime, set_server_socket_options,
+    Fill, fill, fill_lazily, has_nothing_to_read, is_closed_by_peer, read_without_runtime,
+    set_server_socket_options,
 };
 pub use write::{
     append_chunk, append_content_length, append_field, append_last_chunk, append_number, is_hop_by_hop,
--- a/crates/proxy/src/http/socket.rs
+++ b/crates/proxy/src/http/socket.rs
@@ -3,11 +3,15 @@
 
 use bytes::BytesMut;
 use socket2::{SockRef, TcpKeepalive};
+use std::future::poll_fn;
 use std::io::{self, Read};
 use std::mem::MaybeUninit;
+use std::pin::pin;
+use std::task::ready;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt};
 use tokio::net::TcpStream;
+use tokio::net::tcp::ReadHalf;
 
 /// The free space that is reserved in the buffer for a read, in bytes.
 const READ_CAPACITY: usize = 2 * 1024;
@@ -35,6 +39,22 @@
     Ok(if read == 0 { Fill::Eof } else { Fill::Received })
 }
 
+/// Waits for input and reads once into `buffer`, which holds no memory while there is no input.
+///
+/// The runtime may report that a socket is readable although there is no input, for example on a new
+/// connection. Only bytes, the end of the stream or a failure complete the wait.
+pub async fn fill_lazily(stream: &mut ReadHalf<'_>, buffer: &mut BytesMut) -> io::Result<Fill> {
+    poll_fn(|context| {
+        ready!(stream.as_ref().poll_read_ready(context))?;
+        let filled = pin!(fill(stream, buffer)).poll(context);
+        if filled.is_pending() {
+            *buffer = BytesMut::new();
+        }
+        filled
+    })
+    .await
+}
+
 /// Returns whether there is nothing to read, neither bytes nor the end of the stream or a reset.
 pub fn has_nothing_to_read(socket: &TcpStream) -> bool {
     let mut byte = [MaybeUninit::uninit(); 1];
--- a/crates/proxy/src/inbound/connections_tests.rs
+++ b/crates/proxy/src/inbound/connections_tests.rs
@@ -64,3 +64,22 @@
     assert!(received.starts_with("HTTP/1.1 "), "{received}");
     assert!(received.to_ascii_lowercase().contains("connection: close\r\n"), "{received}");
 }
+
+/// Guards against a connection without a request that counts as busy: it could not make room for another one.
+#[tokio::test]
+async fn connection_that_has_sent_nothing_is_evicted() {
+    let listener = start_listener().await;
+    let address = listener.local_addr().expect("the listener has a local address");
+    let mut client = TcpStream::connect(address).await.expect("the connection is established");
+    let (stream, _) = listener.accept().await.expect("a connection is accepted");
+    let connections = ClientConnections::new(0);
+    let (_, slot) = connections.register();
+    let state = state_with_server(address);
+    let evict = async {
+        tokio::task::yield_now().await;
+        assert!(connections.evict_longest_idle());
+        client.read(&mut [0]).await.expect("the connection is closed in an orderly way")
+    };
+    let ((), length) = tokio::join!(connection::serve(&state, stream, &slot), evict);
+    assert_eq!(length, 0);
+}
--- a/crates/proxy/src/inbound/request_reader.rs
+++ b/crates/proxy/src/inbound/request_reader.rs
@@ -7,6 +7,7 @@
 use crate::state::ProxyState;
 use bytes::{Bytes, BytesMut};
 use lugwharf_config::Limits;
+use std::io;
 use std::time::Duration;
 use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -80,18 +81,18 @@
         if self.buffer.is_empty() {
             // Frees the buffer while the connection is idle.
             self.buffer = BytesMut::new();
-            self.wait_readable(slot).await?;
+            self.wait_for_bytes(slot).await?;
         }
         Ok(self.read_ahead.take().unwrap_or_else(|| Arrival::now(self.state)))
     }
 
-    /// Waits for the first byte of a request, until the idle timeout or a request to close.
-    async fn wait_readable(&mut self, slot: &ConnectionSlot) -> Result<(), ReadFailure> {
+    /// Waits for the first bytes of a request, until the idle timeout or a request to close.
+    async fn wait_for_bytes(&mut self, slot: &ConnectionSlot) -> Result<(), ReadFailure> {
         let idle_timeout = Duration::from_millis(self.state.limits().idle_timeout_ms);
         let deadline = Instant::now() + idle_timeout.max(MIN_IDLE_TIMEOUT) + IDLE_GRACE;
         tokio::select! {
             biased;
-            ready = self.read.readable() => ready.map_err(|_| ReadFailure::Disconnected),
+            filled = http::fill_lazily(&mut self.read, &mut self.buffer) => check_received(filled),
             () = slot.wait_for_close_request() => self.close_unless_readable(),
             () = sleep_until(deadline) => self.close_unless_readable(),
         }
@@ -196,8 +197,7 @@
     /// Reads once into the buffer. Fails with `on_timeout` if nothing is received until `deadline`.
     async fn read_more(&mut self, deadline: Instant, on_timeout: ReadFailure) -> Result<(), ReadFailure> {
         match timeout_at(deadline, http::fill(&mut self.read, &mut self.buffer)).await {
-            Ok(Ok(Fill::Received)) => Ok(()),
-            Ok(Ok(Fill::Eof) | Err(_)) => Err(ReadFailure::Disconnected),
+            Ok(filled) => check_received(filled),
             Err(_) => Err(on_timeout),
         }
     }
@@ -243,6 +243,14 @@
     }
 }
 
+/// Returns an error unless a read received bytes.
+fn check_received(filled: io::Result<Fill>) -> Result<(), ReadFailure> {
+    match filled {
+        Ok(Fill::Received) => Ok(()),
+        Ok(Fill::Eof) | Err(_) => Err(ReadFailure::Disconnected),
+    }
+}
+
 /// Returns the time limit for a head, and for a pause within a body.
 fn read_timeout(limits: &Limits) -> Duration {
     Duration::from_millis(limits.header_timeout_ms.max(MIN_READ_TIMEOUT_MS))
--- a/crates/proxy/tests/graceful_shutdown.rs
+++ b/crates/proxy/tests/graceful_shutdown.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use lugwharf_config::Limits;
 use std::time::Duration;
 use support::*;
 use tokio::time::Instant;
@@ -52,6 +53,26 @@
     .await;
 }
 
+/// Guards against a connection without a request that counts as busy, which kept the process up to the end
+/// of the grace period.
+#[tokio::test]
+async fn shutdown_closes_a_connection_that_has_sent_nothing() {
+    let limits = Limits { header_timeout_ms: 60_000, idle_timeout_ms: 60_000, ..Limits::default() };
+    let mut begun_at = Instant::now();
+    with_proxy_until_shutdown(Scenario::new("unsafe").limits(limits), async |proxy| {
+        let mut unused = proxy.connect().await;
+        proxy.wait_until_received().await;
+        begun_at = Instant::now();
+        proxy.begin_shutdown();
+        assert_eq!(proxy.readiness_status().await, 503);
+        tokio::time::pause();
+        assert!(unused.is_closed().await);
+    })
+    .await;
+    let elapsed = begun_at.elapsed();
+    assert!(elapsed < Duration::from_secs(4), "{elapsed:?}");
+}
+
 #[tokio::test]
 async fn shutdown_aborts_remaining_requests_before_the_grace_period_ends() {
     let scenario = Scenario::new("unsafe").route(Route::new("unsafe").timeout_ms(60_000));
--- a/crates/proxy/tests/limit_changes.rs
+++ b/crates/proxy/tests/limit_changes.rs
@@ -75,6 +75,8 @@
 /// What happens on a client connection before the limits change.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Before {
+    /// Nothing: the connection has never carried a byte.
+    Unused,
     /// A request is served, and the connection rests.
     Served,
     /// A request is sent to a server, which responds after the change.
@@ -85,6 +87,11 @@
     /// Opens a connection. Returns it with the server's connection of a request in progress.
     async fn connect(self, proxy: &TestProxy) -> (Connection, Option<Connection>) {
         match self {
+            Before::Unused => {
+                let client = proxy.connect().await;
+                proxy.wait_until_received().await;
+                (client, None)
+            }
             Before::Served => {
                 let mut client = proxy.connect().await;
                 client.send(&unrouted_request("GET", "", "")).await;
@@ -125,7 +132,8 @@
         Excess::BodyTime
     )]
     excess: Excess,
-    #[values(false, true)] is_raised: bool, #[values(Before::Served, Before::InProgress)] before: Before,
+    #[values(false, true)] is_raised: bool,
+    #[values(Before::Unused, Before::Served, Before::InProgress)] before: Before,
 ) {
     let (older, newer) = change(is_raised);
     with_proxy(Scenario::new("unsafe").limits(older), async |proxy| {
@@ -154,7 +162,8 @@
         Excess::BodyTime
     )]
     excess: Excess,
-    #[values(false, true)] is_raised: bool, #[values(Before::Served, Before::InProgress)] before: Before,
+    #[values(false, true)] is_raised: bool,
+    #[values(Before::Unused, Before::Served, Before::InProgress)] before: Before,
 ) {
     let (older, newer) = change(is_raised);
     with_proxy(Scenario::new("unsafe").limits(older.clone()), async |proxy| {
--- a/crates/proxy/tests/request_parsing.rs
+++ b/crates/proxy/tests/request_parsing.rs
@@ -4,6 +4,7 @@
 
 use rstest::rstest;
 use std::time::Duration;
+use support::clock::advance_clock;
 use support::*;
 use tokio::time::Instant;
 
@@ -97,3 +98,29 @@
     })
     .await;
 }
+
+/// Guards against readiness without input that is taken for the start of a request: the connection was closed
+/// after the header timeout, without a response. The runtime reports it on new connections, and after a read
+/// that fills its buffer exactly.
+#[rstest]
+#[case::never_used(None)]
+#[case::used(Some(200))]
+#[case::used_by_a_request_that_fills_the_read_buffer(Some(2_048))]
+#[tokio::test]
+async fn client_connection_may_rest_for_four_fifths_of_the_idle_timeout(#[case] first_bytes: Option<usize>) {
+    with_proxy(Scenario::new("unsafe"), async |proxy| {
+        let mut client = proxy.connect().await;
+        if let Some(length) = first_bytes {
+            let shortest = unrouted_request("GET", "X: \r\n", "").len();
+            let padding = "x".repeat(length - shortest);
+            client.send(&unrouted_request("GET", &format!("X: {padding}\r\n"), "")).await;
+            assert_eq!(client.read_response().await.status(), 404);
+        }
+        proxy.wait_until_received().await;
+        advance_clock(Duration::from_millis(3_200)).await;
+        proxy.wait_until_received().await;
+        client.send(&unrouted_request("GET", "", "")).await;
+        assert_eq!(client.read_response().await.status(), 404);
+    })
+    .await;
+}
