Let the idle timeout of a resting client connection follow the configuration

What callers saw: after a configuration had raised IdleTimeoutMs, connections that rested already were closed by the older timeout, and the requests that clients sent on them within the newer one were lost. After one that lowered it, they were kept for as long as the older one said.

Cause: the deadline of a rest was computed once, when the rest began.

Change: idle connections wait for changes of the limits too, and compute their deadline anew (`IdleDeadline`). A shorter timeout closes a connection no sooner than the grace of 5 s after the change, since its client may not know of it, and never later than before the change, however often it changes.

Why it works: every rest holds a receiver that sees each change of the limits after its own subscription; versions that leave them alone wake nobody.

--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -6,6 +6,7 @@
 #[cfg(test)]
 mod connections_tests;
 pub mod error_response;
+pub mod idle_deadline;
 pub mod listener;
 pub mod request;
 pub mod request_reader;
--- a/crates/proxy/src/inbound/request_reader.rs
+++ b/crates/proxy/src/inbound/request_reader.rs
@@ -4,6 +4,7 @@
 use crate::inbound::body_reservation::BodyReservation;
 use crate::inbound::connections::ConnectionSlot;
 use crate::inbound::error_response::RequestError;
+use crate::inbound::idle_deadline::IdleDeadline;
 use crate::state::ProxyState;
 use bytes::{Bytes, BytesMut};
 use lugwharf_config::Limits;
@@ -13,11 +14,6 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-/// A connection is closed only after it has been idle for this much longer than the configured timeout, since
-/// clients may still reuse it close to the timeout.
-const IDLE_GRACE: Duration = Duration::from_secs(5);
-/// The minimum idle timeout, which applies if the configured one is shorter.
-const MIN_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The maximum number of bytes that are read ahead while a request is served, to detect that its client
 /// disconnects.
 const MAX_READ_AHEAD_BYTES: usize = 8 * 1024;
@@ -86,15 +82,21 @@
         Ok(self.read_ahead.take().unwrap_or_else(|| Arrival::now(self.state)))
     }
 
-    /// Waits for the first bytes of a request, until the idle timeout or a request to close.
+    /// Waits for the first bytes of a request, until the idle timeout or a request to close. The idle timeout
+    /// follows the configuration while the connection waits.
     async fn wait_for_bytes(&mut self, slot: &ConnectionSlot) -> Result<(), ReadFailure> {
-        let idle_timeout = Duration::from_millis(self.state.limits().idle_timeout_ms);
-        let deadline = Instant::now() + idle_timeout.max(MIN_IDLE_TIMEOUT) + IDLE_GRACE;
-        tokio::select! {
-            biased;
-            filled = http::fill_lazily(&mut self.read, &mut self.buffer) => check_received(filled),
-            () = slot.wait_for_close_request() => self.close_unless_readable(),
-            () = sleep_until(deadline) => self.close_unless_readable(),
+        let mut limits = self.state.watch_limits();
+        let mut deadline = IdleDeadline::new(Instant::now(), &limits.borrow_and_update());
+        loop {
+            tokio::select! {
+                biased;
+                filled = http::fill_lazily(&mut self.read, &mut self.buffer) => return check_received(filled),
+                () = slot.wait_for_close_request() => return self.close_unless_readable(),
+                () = sleep_until(deadline.at()) => return self.close_unless_readable(),
+                Ok(()) = limits.changed() => {
+                    deadline.set_limits(&limits.borrow_and_update(), Instant::now());
+                }
+            }
         }
     }
 
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -15,6 +15,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// The divisor that gives the memory for request bodies: a quarter of the process's memory.
@@ -35,7 +36,8 @@
     /// The counters for `GET /metrics`.
     pub metrics: Metrics,
     routes: RefCell<Option<Rc<Routes>>>,
-    limits: RefCell<Limits>,
+    /// Idle client connections wait for changes of the limits, so that the idle timeout follows them.
+    limits: watch::Sender<Limits>,
     is_draining: Cell<bool>,
     /// Whether client connections are no longer admitted.
     is_admission_stopped: Cell<bool>,
@@ -63,7 +65,7 @@
             max_body_bytes,
             metrics: Metrics::new(),
             routes: RefCell::default(),
-            limits: RefCell::default(),
+            limits: watch::Sender::default(),
             is_draining: Cell::new(false),
             is_admission_stopped: Cell::new(false),
             started: Instant::now(),
@@ -88,6 +90,11 @@
         self.limits.borrow().clone()
     }
 
+    /// Returns a receiver of changes of the limits.
+    pub fn watch_limits(&self) -> watch::Receiver<Limits> {
+        self.limits.subscribe()
+    }
+
     /// Returns whether the process is ready: it has a configuration and at least one server, and is not
     /// draining.
     pub fn is_ready(&self) -> bool {
@@ -186,7 +193,12 @@
             format!("configuration version {version} after {before}")
         });
         self.balancer.borrow_mut().retain_services(|name| configuration.service(name).is_some());
-        *self.limits.borrow_mut() = configuration.limits.clone();
+        // Most versions do not change the limits, and wake no idle connection.
+        self.limits.send_if_modified(|limits| {
+            let is_changed = *limits != configuration.limits;
+            limits.clone_from(&configuration.limits);
+            is_changed
+        });
         *self.routes.borrow_mut() = Some(Rc::new(Routes::new(configuration, || self.random_fraction())));
     }
 }
--- a/crates/proxy/tests/limit_changes.rs
+++ b/crates/proxy/tests/limit_changes.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use support::clock::advance_clock;
 use support::*;
+use tokio::time::Instant;
 
 /// The pause in the middle of a request whose time is limited.
 const PAUSE: Duration = Duration::from_secs(1);
@@ -194,3 +195,28 @@
     })
     .await;
 }
+
+/// Guards against an idle timeout that a connection keeps from when it began to rest: the connection was
+/// closed early although its client followed the newer timeout, or was kept for as long as the older one.
+#[rstest]
+#[case::raised(4_000, 60_000, 65_000)]
+#[case::lowered(60_000, 4_000, 9_000)]
+#[tokio::test]
+async fn idle_timeout_of_a_resting_connection_follows_the_configuration(
+    #[case] older_ms: u64, #[case] newer_ms: u64, #[case] closed_after_ms: u64,
+    #[values(Before::Unused, Before::Served)] before: Before,
+) {
+    let limits = |idle_timeout_ms| Limits { idle_timeout_ms, ..HIGH };
+    with_proxy(Scenario::new("unsafe").limits(limits(older_ms)), async |proxy| {
+        let since = Instant::now();
+        let (mut client, _) = before.connect(proxy).await;
+        proxy.limits = limits(newer_ms);
+        proxy.configure(2, &[Route::new("unsafe")]).await;
+        tokio::time::pause();
+        assert!(client.is_closed().await);
+        let idle_for = since.elapsed();
+        let expected = Duration::from_millis(closed_after_ms);
+        assert!(idle_for >= expected && idle_for < expected + Duration::from_secs(3), "{idle_for:?}");
+    })
+    .await;
+}
