Test that an operator's connection may rest before its first request

Cause: no test had a connection that was opened ahead of use.

Evidence by reading, for each place that waits for readiness: the proxy's pool and the check for a disconnected client ask the kernel; the writer of a request reads what there is, and a read without input clears the readiness (`last_byte_of_an_unsafe_request_is_withheld_on_a_new_connection` plays a connection that was never read); the wait behind 8 KiB of pipelined requests acts on the end of the stream alone. Agent, peers and feed read whole frames. The operator's API has no timeout before the first byte.

Change: the test for the operator's API.

--- a/crates/control/src/http_bytes_tests.rs
+++ b/crates/control/src/http_bytes_tests.rs
@@ -72,6 +72,27 @@
     lines.collect()
 }
 
+/// Guards against an operator's connection that is closed, or judged by a timeout, before its first byte.
+#[tokio::test]
+async fn operator_connection_may_rest_before_its_first_request() {
+    let (listener, address) = listener().await;
+    let (commands, queue) = mpsc::channel(4);
+    tokio::spawn(answer_commands(queue, Some(VERSION_7)));
+    operator::serve(listener, commands, RejectionCounters::default());
+    let mut rested = TcpStream::connect(address).await.expect("cannot connect to the listener");
+    let request = read("GET /config HTTP/1.1");
+    // The listener has accepted the first connection once it has answered on a later one.
+    exchange(address, request.as_bytes()).await;
+    tokio::time::pause();
+    tokio::time::advance(Duration::from_secs(60)).await;
+    tokio::time::resume();
+    exchange(address, request.as_bytes()).await;
+    rested.write_all(request.as_bytes()).await.expect("cannot write to the connection");
+    let mut answer = Vec::new();
+    rested.read_to_end(&mut answer).await.expect("cannot read the answer");
+    assert!(answer.starts_with(b"HTTP/1.1 200 OK\r\n"), "{}", String::from_utf8_lossy(&answer));
+}
+
 async fn call_operator(request: &[u8], config: Option<&'static [u8]>) -> String {
     let (listener, address) = listener().await;
     let (commands, queue) = mpsc::channel(4);
