Soak: clients that rest on connections opened ahead, while the limits alternate

Its clients sent within 60 ms of the response before, opened no connection ahead, and all versions of its configuration had the same limits.

Change: four more clients open their connections ahead of use and rest on them, up to four fifths of the shorter idle timeout, before each request. The idle timeout alternates with each version, MaxBodyBytes every eight versions; half of the resting clients' requests have a body that only the higher limit allows. `checker/limits.rs` reports one that is rejected although every version that may be in force allows it, or accepted although none does. A rest counts to the request, so that faults during it explain a failure.

--- a/crates/emulator/src/client/exchange.rs
+++ b/crates/emulator/src/client/exchange.rs
@@ -8,7 +8,7 @@
 use crate::wire::{Connection, Framing, Response, WireError};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// The default timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -51,6 +51,15 @@
         self.connection.is_some()
     }
 
+    /// Opens a connection ahead of its first request, if none is open. A failure shows when the request is
+    /// sent.
+    pub async fn connect(&mut self) {
+        if self.connection.is_none() {
+            let opened = timeout(self.connect_timeout, Connection::open(self.address)).await;
+            self.connection = opened.ok().and_then(Result::ok);
+        }
+    }
+
     /// Sends a request, on a new connection if none is open. Reads and checks the response, until the
     /// deadline of the request.
     pub async fn send(&mut self, request: &ClientRequest) -> AttemptOutcome {
--- a/crates/soak/src/checker/mod.rs
+++ b/crates/soak/src/checker/mod.rs
@@ -6,16 +6,20 @@
 //! | `records` | none: the records that the checks read |
 //! | `requests` | executions, responses, failures and their log lines, disconnected clients |
 //! | `routes` | which service executed a request |
+//! | `limits` | by which limits a request was judged |
+//! | `versions` | none: the versions of the configuration that may be in force |
 //! | `servers` | draining servers, and stage orders |
 //! | `configurations` | writes and reads of configurations |
 //! | `fault_attribution` | which failures a scheduled fault explains, and for how long |
 
 mod configurations;
 mod fault_attribution;
+mod limits;
 mod records;
 mod requests;
 mod routes;
 mod servers;
+mod versions;
 
 use crate::finding::Finding;
 
@@ -26,6 +30,7 @@
     let mut found = Vec::new();
     requests::check(records, &mut found);
     routes::check(records, &mut found);
+    limits::check(records, &mut found);
     servers::check(records, &mut found);
     configurations::check(records, &mut found);
     found
--- a/crates/soak/src/checker/requests.rs
+++ b/crates/soak/src/checker/requests.rs
@@ -1,6 +1,7 @@
 //! Checks of client requests.
 
 use super::fault_attribution::{is_explained_by_front_fault, is_explained_by_server_fault};
+use super::limits::is_body_rejected;
 use super::records::RunRecords;
 use crate::configuration::services_of;
 use crate::fault::FaultKind;
@@ -135,10 +136,11 @@
 
 /// Whether an attempt failed although its client waited for the response.
 fn has_failed(attempt: &Attempt) -> bool {
-    attempt.behaviour.awaits_response() && !attempt.outcome.is_success()
+    attempt.behaviour.awaits_response() && !attempt.outcome.is_success() && !is_body_rejected(attempt)
 }
 
-fn describe(attempt: &Attempt) -> String {
+/// The text that identifies an attempt in findings.
+pub fn describe(attempt: &Attempt) -> String {
     let Attempt { front, behaviour, started_at, ended_at, outcome, .. } = attempt;
     let (id, target) = (&outcome.request_id, &outcome.target);
     let (from, until) = (started_at.as_millis(), ended_at.as_millis());
--- a/crates/soak/src/checker_tests.rs
+++ b/crates/soak/src/checker_tests.rs
@@ -77,7 +77,9 @@
             behaviour,
             is_connection_reused: false,
             started_at,
+            sent_at: started_at,
             ended_at,
+            body_bytes: 10,
             outcome,
         });
         self.attempts.last_mut().expect("an attempt was just added")
@@ -423,7 +425,7 @@
     let content_hash = request.outcome().content_hash;
     let attempt = fixture.add_attempt(Behaviour::Leaving, AttemptEnd::TimedOut);
     attempt.outcome = request.outcome();
-    (attempt.started_at, attempt.ended_at) = (ms(sent), ms(sent + 200));
+    (attempt.started_at, attempt.sent_at, attempt.ended_at) = (ms(sent), ms(sent), ms(sent + 200));
     fixture.request_log.record_execution(Execution {
         at: ms(sent + 100),
         instance: "i-0-1".to_owned(),
@@ -435,6 +437,31 @@
     assert_eq!(fixture.rules(), expected);
 }
 
+/// The request `ab`, whose body versions 4 to 11 forbid, is sent at `sent` after a rest since 5,000 ms.
+/// `version` was acknowledged at 10,100 ms, the one eight below it long before.
+#[rstest]
+#[case::raised(12, 12_201, 413, "", &["denied"])]
+#[case::raised_within_the_bound(12, 12_200, 413, "", &[])]
+#[case::raised_and_allowed(12, 12_201, 200, "", &[])]
+#[case::lowered(10, 12_201, 200, "", &["over_the_limit"])]
+#[case::lowered_within_the_bound(10, 12_200, 200, "", &[])]
+#[case::lowered_and_forbidden(10, 12_201, 413, "", &[])]
+#[case::another_failure(12, 12_201, 404, "", &["failed_without_cause", "unexplained"])]
+#[case::with_an_agent_partitioned(12, 12_201, 413, "agent_silent 9000 2000 0 0", &[])]
+fn a_body_judged_by_the_limit_of_no_configuration_in_force_is_reported(
+    #[case] version: u64, #[case] sent: u64, #[case] status: u16, #[case] schedule: &str,
+    #[case] expected: &[&str],
+) {
+    let mut fixture = RunFixture::new(schedule);
+    fixture.operator_log.record_write(config_write(version - 8, 1, 1_000, acknowledged()));
+    fixture.operator_log.record_write(config_write(version, version - 8, 10_000, acknowledged()));
+    let attempt = fixture.add_attempt(Behaviour::Resting, AttemptEnd::Complete);
+    (attempt.started_at, attempt.sent_at, attempt.ended_at) = (ms(5_000), ms(sent), ms(sent + 200));
+    attempt.body_bytes = 1_025;
+    attempt.outcome.status = Some(status);
+    assert_eq!(fixture.rules(), expected);
+}
+
 /// A server refuses an order of holder `a` under token 4 at 1,000 ms, since it has received token 9 from
 /// another sender. Holder `a` then sends another order.
 #[rstest]
--- a/crates/soak/src/configuration.rs
+++ b/crates/soak/src/configuration.rs
@@ -1,7 +1,7 @@
 //! The configurations that operators write: the routes that the client load uses, one route that is different
 //! in each version, and one route whose service changes with the version.
 
-use lugwharf_emulator::configuration::{ConfigurationSpec, EngineSpec, RouteSpec, ServiceSpec};
+use lugwharf_emulator::configuration::{ConfigurationSpec, EngineSpec, LimitsSpec, RouteSpec, ServiceSpec};
 use lugwharf_emulator::model_server::{ModelParameters, Stage};
 
 /// The host of all routes.
@@ -21,13 +21,27 @@
 pub const SLOW_SERVICE: &str = "archive";
 /// The version that the harness writes before it starts to record.
 pub const INITIAL_VERSION: u64 = 1;
+/// The timeout for receiving a request head, in ms. Clients rest for longer on connections that have sent
+/// nothing yet.
+const HEADER_TIMEOUT_MS: u64 = 2_000;
+/// The shorter of the two idle timeouts, which alternate with the version, in ms.
+pub const MIN_IDLE_TIMEOUT_MS: u64 = 4_000;
+/// The longer of the two idle timeouts, in ms.
+const MAX_IDLE_TIMEOUT_MS: u64 = 6_000;
+/// The lower of the two limits on bodies, which alternate every [`VERSIONS_PER_BODY_LIMIT`] versions, in bytes.
+pub const MIN_MAX_BODY_BYTES: u64 = 1_024;
+/// The higher of the two limits on bodies, in bytes.
+const MAX_MAX_BODY_BYTES: u64 = 4_194_304;
+/// The number of consecutive versions with the same limit on bodies, as [`VERSIONS_PER_SERVICE`].
+const VERSIONS_PER_BODY_LIMIT: u64 = 8;
 /// The timeout of streams, in ms. Long streams take up to 8 s on an idle machine, and longer on a busy one.
 const STREAM_TIMEOUT_MS: u64 = 30_000;
 
 /// The configuration of a version.
 pub fn configuration(version: u64) -> ConfigurationSpec {
     let engine = EngineSpec::from(&ModelParameters::small_and_fast(Stage::Decode));
-    ConfigurationSpec::new(version)
+    let configuration = ConfigurationSpec { limits: limits(version), ..ConfigurationSpec::new(version) };
+    configuration
         .with_service(ServiceSpec::new(MODEL_SERVICE, Some(engine)))
         .with_service(ServiceSpec::new(PLAIN_SERVICE, None))
         .with_service(ServiceSpec::new(SLOW_SERVICE, None))
@@ -41,6 +55,24 @@
         .with_route(RouteSpec::new(HOST, &format!("/only-{version}/"), "safe", PLAIN_SERVICE))
 }
 
+/// The limits on clients in a version. Each version has another idle timeout than the one before.
+fn limits(version: u64) -> LimitsSpec {
+    let idle_timeout_ms = if version.is_multiple_of(2) { MIN_IDLE_TIMEOUT_MS } else { MAX_IDLE_TIMEOUT_MS };
+    let max_body_bytes = max_body_bytes(version);
+    LimitsSpec {
+        max_body_bytes,
+        header_timeout_ms: HEADER_TIMEOUT_MS,
+        idle_timeout_ms,
+        ..LimitsSpec::default()
+    }
+}
+
+/// The limit on bodies in a version, in bytes. It changes halfway between two changes of [`MOVING_PREFIX`].
+pub fn max_body_bytes(version: u64) -> u64 {
+    let period = (version + VERSIONS_PER_BODY_LIMIT / 2) / VERSIONS_PER_BODY_LIMIT;
+    if period.is_multiple_of(2) { MAX_MAX_BODY_BYTES } else { MIN_MAX_BODY_BYTES }
+}
+
 fn stream(prefix: &str) -> RouteSpec {
     RouteSpec { timeout_ms: STREAM_TIMEOUT_MS, ..RouteSpec::new(HOST, prefix, "streaming", MODEL_SERVICE) }
 }
--- a/crates/soak/src/run_log_tests.rs
+++ b/crates/soak/src/run_log_tests.rs
@@ -62,7 +62,9 @@
         behaviour: Behaviour::Leaving,
         is_connection_reused: true,
         started_at: ms(9),
+        sent_at: ms(9),
         ended_at: ms(10),
+        body_bytes: 10,
         outcome,
     };
     let text = run_log::render(ms(4), &operator_log(), &[attempt], &request_log());
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -1,7 +1,7 @@
-//! The client load of a run: requests on all routes. Some clients disconnect early, send slowly, or
-//! disconnect in the middle of a request.
+//! The client load of a run: requests on all routes. Some clients disconnect early, send slowly, disconnect
+//! in the middle of a request, or rest on connections that they open ahead of use.
 
-use crate::configuration::HOST;
+use crate::configuration::{HOST, MIN_IDLE_TIMEOUT_MS, MIN_MAX_BODY_BYTES};
 use lugwharf_emulator::client::{AttemptEnd, AttemptOutcome, Client, ClientRequest, RequestKind};
 use lugwharf_emulator::host::Environment;
 use lugwharf_emulator::wire::Connection;
@@ -14,6 +14,10 @@
 
 /// The number of clients that wait for each response before they send the next request.
 const STEADY_CLIENTS: usize = 6;
+/// The number of clients that rest on their connections.
+const RESTING_CLIENTS: usize = 4;
+/// The range that a rest is drawn from, in ms: up to four fifths of the shortest idle timeout.
+const REST_MS: std::ops::Range<u64> = 0..MIN_IDLE_TIMEOUT_MS * 4 / 5;
 /// The range that the pause between two requests of a client is drawn from, in ms.
 const PAUSE_MS: std::ops::Range<u64> = 5..60;
 /// One of this many generations is long.
@@ -38,12 +42,14 @@
     Slow,
     /// The client disconnects in the middle of a request.
     Stopping,
+    /// The client opens its connection ahead of use, and rests on it before each request.
+    Resting,
 }
 
 impl Behaviour {
     /// Whether the client waits for each response, and so must receive one.
     pub fn awaits_response(self) -> bool {
-        matches!(self, Behaviour::Steady | Behaviour::Slow)
+        matches!(self, Behaviour::Steady | Behaviour::Slow | Behaviour::Resting)
     }
 }
 
@@ -56,10 +62,14 @@
     pub behaviour: Behaviour,
     /// Whether the connection had been used for an earlier request.
     pub is_connection_reused: bool,
-    /// When the request was sent.
+    /// When the client began to wait on the connection for its request, or sent it without a rest.
     pub started_at: Duration,
+    /// When the request was sent.
+    pub sent_at: Duration,
     /// When the client had received the response, or disconnected.
     pub ended_at: Duration,
+    /// The size of the body of the request, in bytes.
+    pub body_bytes: usize,
     /// The outcome at the client.
     pub outcome: AttemptOutcome,
 }
@@ -99,6 +109,7 @@
             Behaviour::Slow,
             Behaviour::Stopping,
         ]);
+        let behaviours = behaviours.chain(std::iter::repeat_n(Behaviour::Resting, RESTING_CLIENTS));
         let tasks = behaviours.enumerate().map(|(number, behaviour)| {
             let rng = fastrand::Rng::with_seed(seed ^ (0xc0 + number as u64));
             tokio::spawn(run_client(context.clone(), behaviour, rng))
@@ -145,8 +156,12 @@
 ) -> bool {
     let request = draw_request(context, behaviour, rng);
     let (is_connection_reused, started_at) = (client.is_connected(), context.environment.now());
+    if behaviour == Behaviour::Resting {
+        rest(context, client, rng).await;
+    }
+    let sent_at = context.environment.now();
     let outcome = match behaviour {
-        Behaviour::Steady | Behaviour::Slow => client.send(&request).await,
+        Behaviour::Steady | Behaviour::Slow | Behaviour::Resting => client.send(&request).await,
         Behaviour::Leaving => {
             let disconnect_delay = Duration::from_millis(rng.u64(1..60));
             let sent = timeout(disconnect_delay, client.send(&request)).await.ok();
@@ -160,11 +175,30 @@
         Behaviour::Stopping => disconnect_midway(context.fronts[front], &request, rng).await,
     };
     let ended_at = context.environment.now();
-    let attempt = Attempt { front, behaviour, is_connection_reused, started_at, ended_at, outcome };
+    let body_bytes = request.body.len();
+    let attempt = Attempt {
+        front,
+        behaviour,
+        is_connection_reused,
+        started_at,
+        sent_at,
+        ended_at,
+        body_bytes,
+        outcome,
+    };
     context.attempts.lock().unwrap_or_else(PoisonError::into_inner).push(attempt);
     client.is_connected()
 }
 
+/// Opens the client's connection and rests on it. The rest ends early when the load stops.
+async fn rest(context: &ClientContext, client: &mut Client, rng: &mut fastrand::Rng) {
+    client.connect().await;
+    let rest = Duration::from_millis(rng.u64(REST_MS));
+    let mut stop = context.stop.clone();
+    // The result is ignored: the request is sent after the rest and after its early end.
+    let _ = timeout(rest, stop.wait_for(|has_stopped| *has_stopped)).await;
+}
+
 /// Sends part of a request and closes the connection.
 async fn disconnect_midway(
     front: SocketAddr, request: &ClientRequest, rng: &mut fastrand::Rng,
@@ -182,7 +216,8 @@
     outcome
 }
 
-/// Draws a request that is suitable for the behaviour of the client.
+/// Draws a request that is suitable for the behaviour of the client. Half of those that follow a rest have a
+/// body that only some versions of the configuration allow.
 fn draw_request(context: &ClientContext, behaviour: Behaviour, rng: &mut fastrand::Rng) -> ClientRequest {
     let number = context.next_id.fetch_add(1, Ordering::Relaxed);
     let id = format!("{:016x}", 0x50a4_0000_0000_0000_u64 + number);
@@ -205,5 +240,9 @@
         }
         _ => ClientRequest::post(&id, HOST, "/slow/1", RequestKind::Safe),
     };
-    ClientRequest { deadline_ms: DEADLINE_MS, ..request }
+    let mut body = request.body.clone();
+    if behaviour == Behaviour::Resting && rng.bool() {
+        body.resize(MIN_MAX_BODY_BYTES as usize + 1, b'x');
+    }
+    ClientRequest { deadline_ms: DEADLINE_MS, body, ..request }
 }
