Apply a delta of the server list only where no other change is missing

What callers saw: a core machine that missed a change of the server list while it was cut off, and got the next one first, had the newest position without the missed entries.

Cause: `ServerDelta` did not say from which position it was computed, and `ServerTable::apply` took an incremental one at any position but the very first. The lease holder sends each change to all peers against its own last position, not theirs.

Change: an incremental delta states its base (encoded as `base`, left out of full ones). It is applied at its base, or beyond it in the epoch of the delta. A proxy does not apply a delta with a gap either; its next report asks for it again.

Why it works: positions of one epoch have one writer, and a delta holds all changes after its base, so a table at or beyond the base in that epoch lacks nothing else. Beyond the base in another epoch a table may hold changes that the writer never saw.

Earlier versions in a rolling upgrade send no base. From a peer, only the next change of the same epoch is applied then; after a gap the process reports that it has no list, and is sent the full one. Replies to an agent were computed for the versions in its request, which stand in for the base. Earlier versions ignore the new field, and keep the fault.

--- a/crates/agent/src/control_link.rs
+++ b/crates/agent/src/control_link.rs
@@ -117,6 +117,15 @@
     u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
 }
 
+/// Adds the base to the server delta in a reply of an earlier version, which does not state it: replies are
+/// computed for the versions in the request.
+fn with_requested_base(update: Update, request: &AgentRequest) -> Update {
+    match request {
+        AgentRequest::Pull { have, .. } => update.with_base(have.servers),
+        AgentRequest::Announce { .. } => update,
+    }
+}
+
 /// Returns the agent addresses of the seeds. All machines use the same ports.
 fn seed_addresses(settings: &Settings) -> Vec<SocketAddr> {
     let port = settings.internal_ports().agent;
@@ -184,6 +193,7 @@
             let Some(request) = self.pull_request(wait).await else { return Ok(StopReason::ShuttingDown) };
             let reply = connection.call(&request, wait + REPLY_MARGIN).await?;
             let ControlReply::Update { has_quorum, control, update } = reply;
+            let update = with_requested_base(update, &request);
             self.record_addresses(control);
             if !has_quorum {
                 self.metrics.record_pull(PullOutcome::NoQuorum);
--- a/crates/agent/src/control_link_tests.rs
+++ b/crates/agent/src/control_link_tests.rs
@@ -1,10 +1,11 @@
 //! Tests of which updates an agent applies. Control processes on loopback reply as scripted.
 
-use super::{ControlLink, StopReason, must_stop_redirects, run};
+use super::{ControlLink, StopReason, must_stop_redirects, run, with_requested_base};
 use crate::ControlPlaneStatus;
 use crate::table_owner::{Command, PullReport};
 use lugwharf_protocol::{
-    AgentRequest, ConfigRecord, ControlReply, FrameError, Update, VersionVector, encode, read_frame,
+    AgentRequest, ConfigRecord, ControlReply, FrameError, ServerDelta, TablePosition, Update, VersionVector,
+    encode, read_frame,
 };
 use lugwharf_settings::Settings;
 use rstest::rstest;
@@ -219,3 +220,24 @@
     }
     link.abort();
 }
+
+/// Guards against deltas of an earlier version, which state no base, that an agent refuses for ever.
+#[rstest]
+#[case::of_an_earlier_version(None, false, Some(4))]
+#[case::with_a_base(Some(3), false, Some(3))]
+#[case::full_list(None, true, None)]
+fn delta_without_a_base_was_computed_for_the_versions_in_the_request(
+    #[case] base: Option<u64>, #[case] is_full: bool, #[case] expected: Option<u64>,
+) {
+    let position = |sequence| TablePosition { epoch: 7, sequence };
+    let request = AgentRequest::Pull {
+        node: String::new(),
+        incarnation: 1,
+        have: VersionVector { servers: position(4), ..VersionVector::default() },
+        wait_ms: 0,
+        loads: Vec::new(),
+    };
+    let delta = ServerDelta { base: base.map(position), is_full, ..ServerDelta::default() };
+    let update = with_requested_base(Update { servers: Some(delta), ..Update::default() }, &request);
+    assert_eq!(update.servers.and_then(|delta| delta.base), expected.map(position));
+}
--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -54,6 +54,9 @@
 mod bootstrap_warning_tests;
 mod commit_history;
 mod fleet_load;
+mod gap_recovery;
+#[cfg(test)]
+mod gap_recovery_tests;
 mod graceful_shutdown;
 mod list_watcher_role;
 #[cfg(test)]
@@ -91,6 +94,7 @@
 use bootstrap_warning::BootstrapWarning;
 use commit_history::CommitHistory;
 use fleet_load::FleetLoad;
+use gap_recovery::GapRecovery;
 use graceful_shutdown::GracefulShutdown;
 use list_watcher_role::ListWatcherRole;
 use pause_detector::PauseDetector;
@@ -130,6 +134,7 @@
     peer_transport: PeerTransport,
     process_directory: ProcessDirectory,
     report_schedule: ReportSchedule,
+    gap_recovery: GapRecovery,
     platform_reachability: PlatformReachability,
     pause_detector: PauseDetector,
     bootstrap_warning: BootstrapWarning,
--- a/crates/control/src/controller/peer_exchange.rs
+++ b/crates/control/src/controller/peer_exchange.rs
@@ -2,11 +2,13 @@
 //! and is sent the changes that it lacks.
 //!
 //! Changes of the server list are sent immediately ([`Controller::handle_list_read`]). The exchange sends
-//! them again if they were lost.
+//! them again if they were lost. A change that arrives after a lost one is not applied, but answered by a
+//! report at once ([`super::gap_recovery`]).
 
 use super::Controller;
 use crate::message::{PeerMessage, TablesMessage};
-use lugwharf_protocol::{Update, VersionVector};
+use lugwharf_distribution::ApplyError;
+use lugwharf_protocol::{TablePosition, Update, VersionVector};
 use spdlog::prelude::*;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -51,21 +53,28 @@
     pub(super) fn report_to_peers(&mut self, now: Duration) {
         self.report_schedule.record(now);
         self.update_live_proxies(now);
+        let report = PeerMessage::Tables(self.report(now));
+        let recipients = self.report_recipients(now);
+        self.peer_transport.send_all(&recipients, report);
+    }
+
+    /// Returns the report of this process to other control processes.
+    fn report(&self, now: Duration) -> TablesMessage {
         let front_count = self.live_nodes.live_count(now);
         let status = self.replica.status();
         let processes = match status.is_member {
             true => self.process_directory.all(now, self.local_address, &status.members),
             false => Vec::new(),
         };
-        let report = TablesMessage::Report {
-            vector: self.tables.version_vector(),
+        let have = self.tables.version_vector();
+        let servers = self.gap_recovery.reported_position(have.servers);
+        TablesMessage::Report {
+            vector: VersionVector { servers, ..have },
             front_count,
             loads: self.fleet_load.local_sum(now),
             is_platform_reachable: self.platform_reachability.may_be_reachable(now),
             processes,
-        };
-        let recipients = self.report_recipients(now);
-        self.peer_transport.send_all(&recipients, PeerMessage::Tables(report));
+        }
     }
 
     /// Updates the number of live proxies. Members count the front-end nodes of all control processes. A
@@ -105,11 +114,26 @@
     fn apply_peer_update(&mut self, from: SocketAddr, update: &Update) {
         match self.tables.apply(update) {
             Ok(true) => {
+                self.gap_recovery.record_advance();
                 self.platform_reachability.record_peer_success();
                 self.serve_pulls();
             }
             Ok(false) => {}
-            Err(error) => debug!("servers", kv: { outcome = "rejected", from: = from, error: = error }),
+            Err(error) => {
+                debug!("servers", kv: { outcome = "rejected", from: = from, error: = error });
+                let ApplyError::Gap { base, .. } = error;
+                self.request_missing_servers(from, base);
+            }
+        }
+    }
+
+    /// Reports to the sender of a delta that did not follow the list of this process, so that it sends what
+    /// is missing.
+    fn request_missing_servers(&mut self, from: SocketAddr, base: Option<TablePosition>) {
+        let now = self.now();
+        if self.gap_recovery.record_gap(now, base) {
+            let report = self.report(now);
+            self.peer_transport.send(from, PeerMessage::Tables(report));
         }
     }
 
--- a/crates/control/src/controller/startup.rs
+++ b/crates/control/src/controller/startup.rs
@@ -6,6 +6,7 @@
 use super::bootstrap_warning::BootstrapWarning;
 use super::commit_history::CommitHistory;
 use super::fleet_load::FleetLoad;
+use super::gap_recovery::GapRecovery;
 use super::list_watcher_role::ListWatcherRole;
 use super::pause_detector::PauseDetector;
 use super::peer_exchange::ReportSchedule;
@@ -141,6 +142,7 @@
             stage_planning,
             process_directory: ProcessDirectory::default(),
             report_schedule: ReportSchedule::default(),
+            gap_recovery: GapRecovery::default(),
             platform_reachability: PlatformReachability::default(),
             pause_detector: PauseDetector::default(),
             bootstrap_warning: BootstrapWarning::default(),
--- a/crates/control/src/controller_tests.rs
+++ b/crates/control/src/controller_tests.rs
@@ -9,13 +9,17 @@
 use crate::status_tests::server;
 use lugwharf_election::FencingToken;
 use lugwharf_protocol::{
-    AgentRequest, ControlReply, ServerEntry, ServerState, Update, VersionVector, decode,
+    AgentRequest, ControlReply, ServerDelta, ServerEntry, ServerState, TablePosition, Update, VersionVector,
+    decode, read_frame,
 };
 use lugwharf_settings::Settings;
 use lugwharf_stages::{OrderOutcome, StageTuning};
+use rstest::rstest;
+use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::sync::mpsc::{self, Receiver, Sender};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -267,3 +271,44 @@
     assert!(listed.contains(&from) && !listed.contains(&named), "{listed:?}");
     drop(std::fs::remove_dir_all(directory));
 }
+
+/// One frame from a control process, without its sender.
+#[derive(Deserialize)]
+struct ReceivedFrame {
+    body: PeerMessage,
+}
+
+/// A delta of the server list that leads to the position `sequence` of epoch 7.
+fn update_to(sequence: u64, id: &str, delta: ServerDelta) -> PeerMessage {
+    let position = TablePosition { epoch: 7, sequence };
+    let servers = Some(ServerDelta { position, entries: list(id), ..delta });
+    PeerMessage::Tables(TablesMessage::Update(Update { servers, ..Update::default() }))
+}
+
+/// Guards against a process that misses a change of the list and applies the next one. It would have the
+/// position of the lease holder without its content, and hand on the gap to agents (`review/4`).
+#[rstest]
+#[case::of_this_version(Some(TablePosition { epoch: 7, sequence: 2 }), TablePosition { epoch: 7, sequence: 1 })]
+#[case::of_an_earlier_version(None, TablePosition::default())]
+#[tokio::test]
+async fn change_after_a_lost_one_is_not_applied_and_what_is_missing_is_requested(
+    #[case] base: Option<TablePosition>, #[case] reported: TablePosition,
+) {
+    let directory = empty_directory(&format!("gap-{}", base.is_some()));
+    let (mut controller, _commands, _queue) = start(&directory);
+    let holder = TcpListener::bind("127.0.0.1:0").await.expect("cannot bind a listener");
+    let from = holder.local_addr().expect("cannot read the address of the listener");
+    let full = ServerDelta { is_full: true, ..ServerDelta::default() };
+    controller.handle(Command::PeerMessageReceived { from, body: update_to(1, "first", full) });
+    let incremental = ServerDelta { base, ..ServerDelta::default() };
+    controller.handle(Command::PeerMessageReceived { from, body: update_to(3, "third", incremental) });
+    assert_eq!(server_ids(&controller), ["first"]);
+    let (mut stream, _) = holder.accept().await.expect("no connection was opened");
+    let received = read_frame::<ReceivedFrame>(&mut stream).await.expect("cannot read the frame");
+    let Some(ReceivedFrame { body: PeerMessage::Tables(TablesMessage::Report { vector, .. }) }) = received
+    else {
+        panic!("no report was sent");
+    };
+    assert_eq!(vector.servers, reported);
+    drop(std::fs::remove_dir_all(directory));
+}
--- a/crates/control/src/encoded_bytes_tests.rs
+++ b/crates/control/src/encoded_bytes_tests.rs
@@ -70,6 +70,7 @@
     ServerDelta {
         position: TablePosition { epoch: 7, sequence: 70_001 },
         is_full: false,
+        base: None,
         entries: vec![entry, other],
         removed: vec!["i-3".to_owned()],
     }
--- a/crates/distribution/src/error.rs
+++ b/crates/distribution/src/error.rs
@@ -15,12 +15,15 @@
 /// The reason why a delta was not applied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ApplyError {
-    /// The delta is incremental, but the table is empty. Pull again from the default position to get a full
-    /// delta.
-    #[error("incremental delta to position {to:?} does not apply to an empty table at position {have:?}")]
+    /// The delta is incremental, and the table may be missing changes that the delta does not contain. Pull
+    /// again from the position of the table; if the delta has no base, from the default position, to get a
+    /// full delta.
+    #[error("incremental delta from {base:?} to {to:?} does not apply to a table at position {have:?}")]
     Gap {
         /// The position of the table.
         have: TablePosition,
+        /// The position that the delta was computed for, if it states one.
+        base: Option<TablePosition>,
         /// The position to which the delta leads.
         to: TablePosition,
     },
--- a/crates/distribution/src/server_table.rs
+++ b/crates/distribution/src/server_table.rs
@@ -93,13 +93,13 @@
         Ok(has_changed)
     }
 
-    /// Applies a delta that another process computed with [`ServerTable::delta_since`] for a position that
-    /// this table had reached; returns whether the position advanced. A delta to the table's own position or
-    /// an earlier one has no effect.
+    /// Applies a delta that another process computed with [`ServerTable::delta_since`]; returns whether the
+    /// position advanced. A delta to the table's own position or an earlier one has no effect.
     ///
     /// # Errors
     ///
-    /// [`ApplyError::Gap`] if the delta is incremental and the table is empty; the table is then unchanged.
+    /// [`ApplyError::Gap`] if changes between this table and the delta may be missing, so that the table
+    /// would not have the content of the position; the table is then unchanged.
     pub fn apply(&mut self, delta: &ServerDelta) -> Result<bool, ApplyError> {
         if delta.position <= self.position {
             return Ok(false);
@@ -108,8 +108,8 @@
             self.apply_full(delta);
             return Ok(true);
         }
-        if self.position == TablePosition::default() {
-            return Err(ApplyError::Gap { have: self.position, to: delta.position });
+        if !delta.completes(self.position) {
+            return Err(ApplyError::Gap { have: self.position, base: delta.base, to: delta.position });
         }
         // Removals and entries are recorded even if they change nothing here: a server that was removed and
         // added again since this table's position may be missing in a process that pulls from this one.
@@ -136,13 +136,13 @@
         let mut removed: Vec<String> = removed.cloned().collect();
         removed.sort_unstable();
         removed.dedup();
-        Some(ServerDelta { position: self.position, is_full: false, entries, removed })
+        Some(ServerDelta { position: self.position, is_full: false, base: Some(have), entries, removed })
     }
 
     /// Returns a full delta, which replaces the complete content of the reader.
     fn full_delta(&self) -> ServerDelta {
         let entries = self.entries().cloned().collect();
-        ServerDelta { position: self.position, is_full: true, entries, removed: Vec::new() }
+        ServerDelta { position: self.position, is_full: true, base: None, entries, removed: Vec::new() }
     }
 
     fn next_position(&self, epoch: u64) -> TablePosition {
--- a/crates/distribution/tests/server_table.rs
+++ b/crates/distribution/tests/server_table.rs
@@ -114,7 +114,8 @@
     let current = successor.position();
     successor.replace(7, entries(&["a", "b", "c", "d"])).unwrap();
     let delta = successor.delta_since(current).unwrap();
-    assert_eq!(delta, ServerDelta { position: at(7, 1), ..ServerDelta::default() });
+    let unchanged = ServerDelta { position: at(7, 1), base: Some(current), ..ServerDelta::default() };
+    assert_eq!(delta, unchanged);
     assert_eq!(ids(&successor.delta_since(behind).unwrap().entries), ["d"]);
     successor.replace(9, entries(&["a", "b", "d"])).unwrap();
     let delta = successor.delta_since(current).unwrap();
@@ -149,7 +150,8 @@
     let source = table_of(&[(1, &["a"]), (1, &["a", "b"])]);
     let mut table = ServerTable::new();
     let incremental = source.delta_since(at(1, 1)).unwrap();
-    assert_eq!(table.apply(&incremental), Err(ApplyError::Gap { have: at(0, 0), to: at(1, 2) }));
+    let gap = ApplyError::Gap { have: at(0, 0), base: Some(at(1, 1)), to: at(1, 2) };
+    assert_eq!(table.apply(&incremental), Err(gap));
     assert_eq!(table.apply(&source.delta_since(table.position()).unwrap()), Ok(true));
 }
 
@@ -221,6 +223,99 @@
     }
 }
 
+/// An update that is on its way to a process.
+struct DirectUpdate {
+    to: usize,
+    delta: ServerDelta,
+}
+
+/// Guards against a process that misses an update of the writer and applies the next one: it had the writer's
+/// position without the writer's content, and nothing repaired it (`review/4`).
+///
+/// The writer sends each change to all processes unasked. These updates are lost, repeated and reordered,
+/// while processes pull from each other and the writer changes.
+#[rstest]
+#[case::with_bases(true)]
+#[case::of_an_earlier_version(false)]
+fn tables_at_the_same_position_have_the_same_content_despite_lost_updates(#[case] sends_bases: bool) {
+    for seed in 0..400 {
+        simulate_direct_updates(seed, sends_bases);
+    }
+}
+
+fn simulate_direct_updates(seed: u64, sends_bases: bool) {
+    const PROCESSES: usize = 4;
+    const IDS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+    let mut random = Rng::with_seed(seed);
+    let mut tables: Vec<ServerTable> = (0..PROCESSES).map(|_| ServerTable::new()).collect();
+    let mut contents: std::collections::BTreeMap<TablePosition, Vec<String>> = Default::default();
+    let mut updates: Vec<DirectUpdate> = Vec::new();
+    let (mut epoch, mut writer) = (1, 0);
+    for _ in 0..300 {
+        match random.u8(..12) {
+            0 => (epoch, writer) = (epoch + 1, random.usize(..PROCESSES)),
+            1..=3 => {
+                let listed: Vec<&str> = IDS.into_iter().filter(|_| random.bool()).collect();
+                let before = tables[writer].position();
+                if tables[writer].replace(epoch, entries(&listed)) == Ok(true) {
+                    let content = tables[writer].entries().map(|entry| entry.id.clone()).collect();
+                    contents.insert(tables[writer].position(), content);
+                    let mut delta = tables[writer].delta_since(before).expect("the position has advanced");
+                    delta.base = delta.base.filter(|_| sends_bases);
+                    let received_by = (0..PROCESSES).filter(|to| *to != writer);
+                    updates.extend(received_by.map(|to| DirectUpdate { to, delta: delta.clone() }));
+                }
+            }
+            // The update is lost, delivered, or delivered and kept to be delivered again.
+            4..=9 if !updates.is_empty() => {
+                let index = random.usize(..updates.len());
+                let DirectUpdate { to, delta } = &updates[index];
+                if random.u8(..4) > 0 {
+                    // A gap leaves the table unchanged, which is checked below.
+                    let _ = tables[*to].apply(delta);
+                }
+                if random.u8(..4) > 0 {
+                    updates.swap_remove(index);
+                }
+            }
+            _ => {
+                let (from, to) = (random.usize(..PROCESSES), random.usize(..PROCESSES));
+                if let Some(delta) = tables[from].delta_since(tables[to].position()) {
+                    assert_eq!(tables[to].apply(&delta), Ok(true), "seed {seed}");
+                }
+            }
+        }
+        for table in tables.iter().filter(|table| table.position() != TablePosition::default()) {
+            let ids: Vec<String> = table.entries().map(|entry| entry.id.clone()).collect();
+            assert_eq!(Some(&ids), contents.get(&table.position()), "seed {seed} at {:?}", table.position());
+        }
+    }
+}
+
+/// A table beyond the base of a delta in another epoch may contain changes that the writer never saw.
+#[rstest]
+#[case::at_the_base(Some(at(2, 3)), at(2, 3), true)]
+#[case::before_the_base(Some(at(2, 3)), at(2, 2), false)]
+#[case::beyond_the_base(Some(at(2, 3)), at(2, 4), true)]
+#[case::at_a_base_in_an_earlier_epoch(Some(at(1, 9)), at(1, 9), true)]
+#[case::beyond_a_base_in_an_earlier_epoch(Some(at(1, 9)), at(1, 10), false)]
+#[case::in_the_epoch_after_the_base(Some(at(1, 9)), at(2, 1), true)]
+#[case::without_a_base_next(None, at(2, 5), true)]
+#[case::without_a_base_behind(None, at(2, 4), false)]
+#[case::without_a_base_in_an_earlier_epoch(None, at(1, 5), false)]
+#[case::empty(Some(at(2, 3)), at(0, 0), false)]
+fn delta_is_applied_only_if_no_other_change_is_missing(
+    #[case] base: Option<TablePosition>, #[case] have: TablePosition, #[case] is_applied: bool,
+) {
+    let mut table = ServerTable::new();
+    let full = ServerDelta { position: have, is_full: true, ..ServerDelta::default() };
+    assert_eq!(table.apply(&full), Ok(have != at(0, 0)));
+    let delta = ServerDelta { position: at(2, 6), base, entries: entries(&["a"]), ..ServerDelta::default() };
+    let expected = if is_applied { Ok(true) } else { Err(ApplyError::Gap { have, base, to: at(2, 6) }) };
+    assert_eq!(table.apply(&delta), expected);
+    assert_eq!((table.position(), table.len()), if is_applied { (at(2, 6), 1) } else { (have, 0) });
+}
+
 /// Two processes that have just started read the list themselves at different times, so their lists differ at
 /// the same position.
 #[test]
--- a/crates/protocol/src/agent.rs
+++ b/crates/protocol/src/agent.rs
@@ -71,6 +71,17 @@
     pub fleet: Option<FleetSummary>,
 }
 
+impl Update {
+    /// Adds the base to an incremental server delta of an earlier version, which does not send it. `have` must
+    /// be the position that the delta was requested for.
+    pub fn with_base(mut self, have: TablePosition) -> Update {
+        if let Some(delta) = self.servers.as_mut().filter(|delta| !delta.is_full) {
+            delta.base.get_or_insert(have);
+        }
+        self
+    }
+}
+
 /// The reply of a control process to any [`AgentRequest`]. The encoded names must not change; see
 /// docs/GLOSSARY.md.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
--- a/crates/protocol/src/packed.rs
+++ b/crates/protocol/src/packed.rs
@@ -20,6 +20,8 @@
     position: TablePosition,
     #[serde(rename = "whole")]
     is_full: bool,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    base: Option<TablePosition>,
     /// The distinct names of services and zones.
     names: Vec<Cow<'a, str>>,
     /// The distinct sets of models.
@@ -124,6 +126,7 @@
     PackedDelta {
         position: delta.position,
         is_full: delta.is_full,
+        base: delta.base,
         names: names.values.into_iter().map(Cow::Borrowed).collect(),
         model_sets: model_sets.values.into_iter().map(Cow::Borrowed).collect(),
         rows,
@@ -133,7 +136,7 @@
 
 /// Returns the unpacked delta, or `None` if an index is out of range.
 fn unpack(packed: PackedDelta<'_>) -> Option<ServerDelta> {
-    let PackedDelta { position, is_full, names, model_sets, rows, removed } = packed;
+    let PackedDelta { position, is_full, base, names, model_sets, rows, removed } = packed;
     let unpack_server = |server: PackedServer<'_>| {
         Some(ServerEntry {
             id: server.id.into_owned(),
@@ -148,7 +151,7 @@
         })
     };
     let entries = rows.into_iter().map(unpack_server).collect::<Option<Vec<ServerEntry>>>()?;
-    Some(ServerDelta { position, is_full, entries, removed: removed.into_owned() })
+    Some(ServerDelta { position, is_full, base, entries, removed: removed.into_owned() })
 }
 
 impl Serialize for ServerDelta {
--- a/crates/protocol/src/table.rs
+++ b/crates/protocol/src/table.rs
@@ -108,12 +108,32 @@
     /// Whether the delta is a snapshot: `entries` is then the complete table and replaces the receiver's
     /// table. Otherwise `entries` contains only the new and changed servers.
     pub is_full: bool,
+    /// The position that an incremental delta was computed for: it contains all changes after that position.
+    /// `None` if `is_full` is true, and in deltas of earlier versions, which do not send it.
+    pub base: Option<TablePosition>,
     /// The entries to insert, or to replace by id.
     pub entries: Vec<ServerEntry>,
     /// The ids of the servers to remove; empty if `is_full` is true.
     pub removed: Vec<String>,
 }
 
+impl ServerDelta {
+    /// Returns whether a table at `have` has the content of `position` once it has applied this delta.
+    ///
+    /// An incremental delta must contain every change that the table is missing. This is certain if the table
+    /// is at its base, or beyond its base in the epoch of `position`, which has one writer. A table beyond the
+    /// base in another epoch may contain changes that the writer of this epoch never saw. Without a base, only
+    /// the next change of the same epoch is certain to be complete.
+    pub fn completes(&self, have: TablePosition) -> bool {
+        let is_same_epoch = have.epoch == self.position.epoch;
+        match self.base {
+            _ if self.is_full => true,
+            Some(base) => have == base || (have > base && is_same_epoch),
+            None => is_same_epoch && have.sequence.checked_add(1) == Some(self.position.sequence),
+        }
+    }
+}
+
 /// A summary of the fleet of proxies.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
 pub struct FleetSummary {
--- a/crates/protocol/tests/packed.rs
+++ b/crates/protocol/tests/packed.rs
@@ -29,6 +29,7 @@
     ServerDelta {
         position: TablePosition { epoch: 117_440_513, sequence: 9 },
         is_full: true,
+        base: None,
         entries: (0..servers).map(entry).collect(),
         removed: vec!["i-gone".to_owned()],
     }
--- a/crates/proxy/src/agent_feed_tests.rs
+++ b/crates/proxy/src/agent_feed_tests.rs
@@ -76,7 +76,13 @@
         assert_eq!((after.have.config, after.have.servers), (7, report.have.servers));
         // The agent holds an older endpoint list.
         let position = TablePosition { epoch: 0, sequence: 9 };
-        let servers = Some(ServerDelta { position, is_full: true, entries: Vec::new(), removed: Vec::new() });
+        let servers = Some(ServerDelta {
+            position,
+            is_full: true,
+            base: None,
+            entries: Vec::new(),
+            removed: Vec::new(),
+        });
         write_frame(&mut new, &FeedMessage::Update(Update { servers, ..Update::default() }))
             .await
             .expect("the bytes are written");
@@ -103,7 +109,7 @@
         let (mut new, _) = accept(agent).await;
         let position = report.have.servers;
         let entries = vec![server_entry(agent.local_addr().expect("the listener has a local address"))];
-        let servers = Some(ServerDelta { position, is_full: true, entries, removed: Vec::new() });
+        let servers = Some(ServerDelta { position, is_full: true, base: None, entries, removed: Vec::new() });
         write_frame(&mut new, &FeedMessage::Update(Update { servers, ..Update::default() }))
             .await
             .expect("the bytes are written");
--- a/crates/proxy/src/outbound/fixtures.rs
+++ b/crates/proxy/src/outbound/fixtures.rs
@@ -43,7 +43,7 @@
 /// Applies an endpoint list with these entries.
 pub fn apply_server_list(state: &ProxyState, sequence: u64, entries: Vec<ServerEntry>) {
     let position = TablePosition { epoch: 1, sequence };
-    let servers = Some(ServerDelta { position, is_full: true, entries, removed: Vec::new() });
+    let servers = Some(ServerDelta { position, is_full: true, base: None, entries, removed: Vec::new() });
     state.apply(&Update { servers, ..Update::default() });
 }
 
--- a/crates/proxy/tests/support/harness.rs
+++ b/crates/proxy/tests/support/harness.rs
@@ -200,7 +200,7 @@
     async fn list_entries(&mut self, entries: Vec<ServerEntry>) {
         self.list_sequence += 1;
         let position = TablePosition { epoch: 1, sequence: self.list_sequence };
-        let servers = Some(ServerDelta { position, is_full: true, entries, removed: Vec::new() });
+        let servers = Some(ServerDelta { position, is_full: true, base: None, entries, removed: Vec::new() });
         let fleet = Some(FleetSummary { live_proxies: 1 });
         let have = self.update(Update { servers, fleet, ..Update::default() }).await;
         assert_eq!(have.servers, position);
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -8,11 +8,13 @@
 use std::time::Duration;
 
 impl Balancer {
-    /// Applies an update of the endpoint list unless it is older than the list in use; returns whether it was
-    /// applied. A server keeps its measurements while it is listed with the same service and address; a change
+    /// Applies an update of the endpoint list unless it is older than the list in use, or does not follow it;
+    /// returns whether it was applied. An update without a base comes from an agent of an earlier version, which
+    /// computes it for the position that the proxy reported. A server keeps its measurements while it is listed with the same service and address; a change
     /// of stage clears its latencies.
     pub fn apply(&mut self, now: Duration, delta: &ServerDelta) -> bool {
-        if delta.position < self.position {
+        let has_gap = delta.base.is_some() && !delta.completes(self.position);
+        if delta.position < self.position || has_gap {
             return false;
         }
         if delta.is_full {
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -40,7 +40,7 @@
 }
 
 pub fn full_delta(position: TablePosition, entries: Vec<ServerEntry>) -> ServerDelta {
-    ServerDelta { position, is_full: true, entries, removed: Vec::new() }
+    ServerDelta { position, is_full: true, base: None, entries, removed: Vec::new() }
 }
 
 /// Returns a balancer whose endpoint list has these entries, at position 1 of epoch 1.
--- a/crates/routing/tests/digest.rs
+++ b/crates/routing/tests/digest.rs
@@ -235,7 +235,7 @@
         }
         self.sequence += 1;
         let position = position(1, self.sequence);
-        self.apply(&ServerDelta { position, is_full: false, entries, removed });
+        self.apply(&ServerDelta { position, is_full: false, base: None, entries, removed });
     }
 
     fn select(&mut self) {
--- a/crates/routing/tests/endpoints.rs
+++ b/crates/routing/tests/endpoints.rs
@@ -18,14 +18,34 @@
     assert_eq!(balancer.has_servers(), !is_applied);
 }
 
+/// An update without a base comes from an agent of an earlier version.
+#[rstest]
+#[case::at_the_base(Some(position(1, 1)), true)]
+#[case::beyond_the_base(Some(position(1, 0)), true)]
+#[case::before_the_base(Some(position(1, 2)), false)]
+#[case::without_a_base(None, true)]
+fn update_is_applied_unless_another_one_is_missing(
+    #[case] base: Option<TablePosition>, #[case] is_applied: bool,
+) {
+    let mut balancer = balancer(Tuning::default(), unstaged_servers(1));
+    let delta = ServerDelta { position: position(1, 3), base, ..ServerDelta::default() };
+    assert_eq!(balancer.apply(ms(0), &delta), is_applied);
+    assert_eq!(balancer.position(), position(1, if is_applied { 3 } else { 1 }));
+}
+
 #[test]
 fn updates_retain_the_state_of_servers_that_stay() {
     let mut balancer = balancer(Tuning::default(), unstaged_servers(2));
     let (a, b) = (key_of(&mut balancer, "a"), key_of(&mut balancer, "b"));
     balancer.record_start(a, Phase::Full);
     let removed = vec!["b".to_owned()];
-    let delta =
-        ServerDelta { position: position(1, 2), is_full: false, entries: unstaged_servers(1), removed };
+    let delta = ServerDelta {
+        position: position(1, 2),
+        is_full: false,
+        base: None,
+        entries: unstaged_servers(1),
+        removed,
+    };
     assert!(balancer.apply(ms(0), &delta));
     assert_eq!(balancer.in_flight(a, Phase::Full), 1);
     assert!(!balancer.is_listed(b));
