Compare server lists at equal positions by a digest, and restate a wrong one

Change: `ServerTable` keeps a digest of its entries (BLAKE3 of each, combined by exclusive or, without the warm-up times). The reports between control processes carry it (`digest`, left out by earlier versions). Where a peer is at the same position with another digest, the invariant `one_list_per_position` is counted, and the lease holder restates its list under a new position with an empty history, so that peers, agents and proxies get the full one by their usual way. It does so at most every 30 s, since that loads the links.

The three places with a minimum time between two actions share `MinInterval`; the test of `ReportSchedule` became its test, with the same assertions.

Why it works: one process writes an epoch, and each change of the content advances its position, so that equal positions mean equal content.

Evidence: both simulations of lost, repeated and reordered updates compare the digests at each step; any changed field changes the digest; its value is fixed by a literal, as processes of several versions and architectures compare it.

--- a/crates/agent/src/metrics_tests.rs
+++ b/crates/agent/src/metrics_tests.rs
@@ -48,6 +48,7 @@
 lugwharf_agent_invariant_violations_total{invariant=\"one_configuration_per_version\"} 0
 lugwharf_agent_invariant_violations_total{invariant=\"one_final_answer\"} 0
 lugwharf_agent_invariant_violations_total{invariant=\"one_holder_per_token\"} 0
+lugwharf_agent_invariant_violations_total{invariant=\"one_list_per_position\"} 0
 lugwharf_agent_invariant_violations_total{invariant=\"one_value_per_ballot\"} 0
 lugwharf_agent_invariant_violations_total{invariant=\"one_view_per_number\"} 0
 lugwharf_agent_invariant_violations_total{invariant=\"order_under_lease\"} 0
--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -61,12 +61,13 @@
 mod list_watcher_role;
 #[cfg(test)]
 mod list_watcher_role_tests;
+mod min_interval;
+#[cfg(test)]
+mod min_interval_tests;
 mod pause_detector;
 #[cfg(test)]
 mod pause_detector_tests;
 mod peer_exchange;
-#[cfg(test)]
-mod peer_exchange_tests;
 mod pending_requests;
 #[cfg(test)]
 mod pending_requests_tests;
@@ -97,8 +98,8 @@
 use gap_recovery::GapRecovery;
 use graceful_shutdown::GracefulShutdown;
 use list_watcher_role::ListWatcherRole;
+use min_interval::MinInterval;
 use pause_detector::PauseDetector;
-use peer_exchange::ReportSchedule;
 use pending_requests::PendingRequests;
 use platform_reachability::PlatformReachability;
 use process_directory::ProcessDirectory;
@@ -133,8 +134,9 @@
     stage_planning: StagePlanning,
     peer_transport: PeerTransport,
     process_directory: ProcessDirectory,
-    report_schedule: ReportSchedule,
+    report_schedule: MinInterval,
     gap_recovery: GapRecovery,
+    list_restatement: MinInterval,
     platform_reachability: PlatformReachability,
     pause_detector: PauseDetector,
     bootstrap_warning: BootstrapWarning,
--- a/crates/control/src/controller/gap_recovery.rs
+++ b/crates/control/src/controller/gap_recovery.rs
@@ -5,17 +5,24 @@
 //! of an earlier version does not state the base of its deltas, so its reply could not be told from another
 //! delta with a gap. The process then reports that it has no list, to be sent the full one.
 
+use super::min_interval::MinInterval;
 use lugwharf_protocol::TablePosition;
 use std::time::Duration;
 
 /// The minimum time between two reports because of a gap.
 const MIN_REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Which position this process reports after a gap, and when. All times count from the start of the process.
-#[derive(Debug, Default)]
+/// Which position this process reports after a gap, and when.
+#[derive(Debug)]
 pub struct GapRecovery {
     needs_full_list: bool,
-    last_request_at: Option<Duration>,
+    requests: MinInterval,
+}
+
+impl Default for GapRecovery {
+    fn default() -> Self {
+        GapRecovery { needs_full_list: false, requests: MinInterval::new(MIN_REQUEST_INTERVAL) }
+    }
 }
 
 impl GapRecovery {
@@ -23,9 +30,9 @@
     /// changes must be requested at once; otherwise the next regular report requests them.
     pub fn record_gap(&mut self, now: Duration, base: Option<TablePosition>) -> bool {
         self.needs_full_list |= base.is_none();
-        let is_due = self.last_request_at.is_none_or(|last| now.saturating_sub(last) >= MIN_REQUEST_INTERVAL);
+        let is_due = self.requests.is_due(now);
         if is_due {
-            self.last_request_at = Some(now);
+            self.requests.record(now);
         }
         is_due
     }
--- a/crates/control/src/controller/peer_exchange_tests.rs
+++ b/crates/control/src/controller/min_interval_tests.rs
@@ -1,12 +1,12 @@
-//! Tests of when a report is due.
+//! Tests of when an action is due.
 
-use super::peer_exchange::ReportSchedule;
+use super::min_interval::MinInterval;
 use std::time::Duration;
 
 #[test]
-fn first_report_is_due_at_once_and_the_next_ones_every_500_ms() {
+fn first_action_is_due_at_once_and_the_next_ones_after_the_interval() {
     let ms = Duration::from_millis;
-    let mut schedule = ReportSchedule::default();
+    let mut schedule = MinInterval::new(ms(500));
     assert!(schedule.is_due(ms(0)));
     schedule.record(ms(100));
     assert!(!schedule.is_due(ms(599)) && schedule.is_due(ms(600)));
--- a/crates/control/src/controller/peer_exchange.rs
+++ b/crates/control/src/controller/peer_exchange.rs
@@ -14,25 +14,7 @@
 use std::time::Duration;
 
 /// The interval between two reports to the other control processes.
-const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
-
-/// The time of the last report to the other control processes. All times count from the start of the process.
-#[derive(Debug, Default)]
-pub struct ReportSchedule {
-    last_report_at: Option<Duration>,
-}
-
-impl ReportSchedule {
-    /// Whether [`EXCHANGE_INTERVAL`] has passed since the last report, or there was no report yet.
-    pub fn is_due(&self, now: Duration) -> bool {
-        self.last_report_at.is_none_or(|last| now.saturating_sub(last) >= EXCHANGE_INTERVAL)
-    }
-
-    /// Records that a report is sent at `now`.
-    pub fn record(&mut self, now: Duration) {
-        self.last_report_at = Some(now);
-    }
-}
+pub const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
 
 impl Controller {
     /// Returns the control processes that this process reports to.
@@ -74,6 +56,7 @@
             loads: self.fleet_load.local_sum(now),
             is_platform_reachable: self.platform_reachability.may_be_reachable(now),
             processes,
+            list_digest: (servers == have.servers).then(|| self.tables.servers().digest()),
         }
     }
 
@@ -92,7 +75,14 @@
     /// Handles a message from another control process about the tables.
     pub(super) fn handle_tables_message(&mut self, from: SocketAddr, message: TablesMessage) {
         match message {
-            TablesMessage::Report { vector, front_count, loads, is_platform_reachable, processes } => {
+            TablesMessage::Report {
+                vector,
+                front_count,
+                loads,
+                is_platform_reachable,
+                processes,
+                list_digest,
+            } => {
                 let now = self.now();
                 self.platform_reachability.record_peer_report(now, from, is_platform_reachable);
                 self.live_nodes.record_peer_count(from, front_count, now);
@@ -100,6 +90,7 @@
                 self.record_processes_from_member(now, from, &processes);
                 self.process_directory.record_live_proxies(now, from, vector.live_proxies);
                 self.send_missing_servers(from, vector);
+                self.compare_lists(from, vector.servers, list_digest);
             }
             TablesMessage::Update(update) => self.apply_peer_update(from, &update),
         }
--- a/crates/control/src/controller/server_list.rs
+++ b/crates/control/src/controller/server_list.rs
@@ -9,14 +9,19 @@
 use crate::message::{PeerMessage, TablesMessage};
 use lugwharf_distribution::PROVISIONAL_EPOCH;
 use lugwharf_election::{self as election, FencingToken};
+use lugwharf_invariants::{Invariant, check};
 use lugwharf_protocol::{ServerEntry, TablePosition, Update, VersionVector};
 use spdlog::prelude::*;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// How long this process does not stand for election after it has stepped down. The time covers several
 /// election rounds: if no other process acquires the lease in it, no other process can.
 const STEP_DOWN_BACKOFF: Duration = Duration::from_millis(1_500);
 
+/// The minimum time between two restatements of the list. Each sends the full list to all front-end nodes.
+pub const RESTATEMENT_INTERVAL: Duration = Duration::from_secs(30);
+
 impl Controller {
     /// Whether this process has no server list at all.
     pub(super) fn needs_initial_list(&self) -> bool {
@@ -46,19 +51,44 @@
         self.stage_planning.plan(now, &mut entries, &self.fleet_load);
         let before = self.tables.version_vector();
         match self.tables.servers_mut().replace(token.0, entries) {
-            Ok(true) => {
-                self.serve_pulls();
-                let recipients = self.report_recipients(now);
-                if let Some(update) = self.server_update_for(before) {
-                    let message = PeerMessage::Tables(TablesMessage::Update(update));
-                    self.peer_transport.send_all(&recipients, message);
-                }
-            }
+            Ok(true) => self.publish_list_change(now, before),
             Ok(false) => {}
             Err(error) => warn!("list", kv: { outcome = "stale", error: = error }),
         }
     }
 
+    /// Sends the change of the list since the versions `before` to agents and peers.
+    fn publish_list_change(&mut self, now: Duration, before: VersionVector) {
+        self.serve_pulls();
+        let recipients = self.report_recipients(now);
+        if let Some(update) = self.server_update_for(before) {
+            let message = PeerMessage::Tables(TablesMessage::Update(update));
+            self.peer_transport.send_all(&recipients, message);
+        }
+    }
+
+    /// Checks that a peer whose list is at the position of this process's list has the same list. If it has
+    /// not, the lease holder restates its list, so that all processes get it in full.
+    pub(super) fn compare_lists(&mut self, from: SocketAddr, position: TablePosition, digest: Option<u64>) {
+        let servers = self.tables.servers();
+        let Some(digest) = digest.filter(|_| position == servers.position()) else { return };
+        if position.epoch == PROVISIONAL_EPOCH || digest == servers.digest() {
+            return;
+        }
+        let own = servers.digest();
+        check(Invariant::OneListPerPosition, false, || {
+            format!("{from} has list {digest:016x} at position {position:?}, this process has {own:016x}")
+        });
+        let now = self.now();
+        if self.holds_lease(FencingToken(position.epoch)) && self.list_restatement.is_due(now) {
+            warn!("list", kv: { outcome = "restated", peer: = from, sequence = position.sequence });
+            self.list_restatement.record(now);
+            let before = self.tables.version_vector();
+            self.tables.servers_mut().restate();
+            self.publish_list_change(now, before);
+        }
+    }
+
     /// Handles a failed read of the list. After a longer outage this process steps down, provided that a peer
     /// may be able to reach the platform.
     pub(super) fn handle_list_read_failure(&mut self, token: FencingToken, should_step_down: bool) {
--- a/crates/control/src/controller/startup.rs
+++ b/crates/control/src/controller/startup.rs
@@ -8,11 +8,13 @@
 use super::fleet_load::FleetLoad;
 use super::gap_recovery::GapRecovery;
 use super::list_watcher_role::ListWatcherRole;
+use super::min_interval::MinInterval;
 use super::pause_detector::PauseDetector;
-use super::peer_exchange::ReportSchedule;
+use super::peer_exchange::EXCHANGE_INTERVAL;
 use super::pending_requests::PendingRequests;
 use super::platform_reachability::PlatformReachability;
 use super::process_directory::ProcessDirectory;
+use super::server_list::RESTATEMENT_INTERVAL;
 use super::stage_planning::StagePlanning;
 use super::state_machine_settings::{elector_settings, replica_settings};
 use super::view_tracker::ViewTracker;
@@ -141,8 +143,9 @@
             fleet_load: FleetLoad::default(),
             stage_planning,
             process_directory: ProcessDirectory::default(),
-            report_schedule: ReportSchedule::default(),
+            report_schedule: MinInterval::new(EXCHANGE_INTERVAL),
             gap_recovery: GapRecovery::default(),
+            list_restatement: MinInterval::new(RESTATEMENT_INTERVAL),
             platform_reachability: PlatformReachability::default(),
             pause_detector: PauseDetector::default(),
             bootstrap_warning: BootstrapWarning::default(),
--- a/crates/control/src/controller_tests.rs
+++ b/crates/control/src/controller_tests.rs
@@ -8,6 +8,7 @@
 use crate::shutdown::ShutdownOutcome;
 use crate::status_tests::server;
 use lugwharf_election::FencingToken;
+use lugwharf_invariants::suppress_panics;
 use lugwharf_protocol::{
     AgentRequest, ControlReply, ServerDelta, ServerEntry, ServerState, TablePosition, Update, VersionVector,
     decode, read_frame,
@@ -265,6 +266,7 @@
         loads: Vec::new(),
         is_platform_reachable: true,
         processes: vec![named],
+        list_digest: None,
     };
     controller.handle(Command::PeerMessageReceived { from, body: PeerMessage::Tables(report) });
     let listed = controller.process_directory.all(controller.now(), controller.local_address, &[]);
@@ -312,3 +314,41 @@
     assert_eq!(vector.servers, reported);
     drop(std::fs::remove_dir_all(directory));
 }
+
+/// Returns a report of a peer that has a list with this digest at `position`.
+fn report_of_list(position: TablePosition, list_digest: u64) -> PeerMessage {
+    PeerMessage::Tables(TablesMessage::Report {
+        vector: VersionVector { servers: position, ..VersionVector::default() },
+        front_count: 0,
+        loads: Vec::new(),
+        is_platform_reachable: true,
+        processes: Vec::new(),
+        list_digest: Some(list_digest),
+    })
+}
+
+/// Guards against a list with a gap that nothing repairs, whatever its cause: the lease holder restates its
+/// list, at most every 30 s, and each reader gets it in full.
+#[tokio::test]
+async fn lease_holder_restates_its_list_if_a_peer_has_another_one_at_the_same_position() {
+    let directory = empty_directory("restated");
+    let (mut controller, _commands, mut queue) = start(&directory);
+    bootstrap(&mut controller, &mut queue).await;
+    let token = acquire_lease(&mut controller, &mut queue).await;
+    controller.handle(Command::ListRead { token, entries: list("a") });
+    let from = SocketAddr::from(([10, 0, 0, 1], 7_700));
+    let (first, digest) = (controller.tables.servers().position(), controller.tables.servers().digest());
+    for (position, digest) in [(first, digest), (TablePosition::default(), !digest)] {
+        controller.handle(Command::PeerMessageReceived { from, body: report_of_list(position, digest) });
+        assert_eq!(controller.tables.servers().position(), first, "nothing contradicts the list");
+    }
+    let restated = TablePosition { sequence: first.sequence + 1, ..first };
+    let _suppressed = suppress_panics();
+    for position in [first, restated] {
+        controller.handle(Command::PeerMessageReceived { from, body: report_of_list(position, !digest) });
+        assert_eq!(controller.tables.servers().position(), restated);
+    }
+    let delta = controller.tables.servers().delta_since(first).expect("the list has advanced");
+    assert!(delta.is_full && delta.entries.len() == 1, "{delta:?}");
+    drop(std::fs::remove_dir_all(directory));
+}
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -31,6 +31,10 @@
         /// sender is a learner or an earlier version.
         #[serde(default)]
         processes: Vec<SocketAddr>,
+        /// The digest of the sender's server list, which belongs to the position in `vector`. `None` if the
+        /// sender reports another position than it has, or is an earlier version.
+        #[serde(rename = "digest", default, skip_serializing_if = "Option::is_none")]
+        list_digest: Option<u64>,
     },
     /// The changes that the receiver does not have yet.
     Update(Update),
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -8,6 +8,7 @@
 //! nothing else, so updates may be lost, repeated and reordered.
 #![forbid(unsafe_code)]
 
+mod content_digest;
 mod error;
 mod history;
 mod server_table;
--- a/crates/distribution/src/server_table.rs
+++ b/crates/distribution/src/server_table.rs
@@ -1,5 +1,6 @@
 //! Server table, with the history needed to compute deltas.
 
+use crate::content_digest::ContentDigest;
 use crate::error::{ApplyError, StaleEpoch};
 use crate::history::History;
 use lugwharf_protocol::{ServerDelta, ServerEntry, ServerState, TablePosition};
@@ -24,6 +25,8 @@
     position: TablePosition,
     /// The entries by server id.
     servers: BTreeMap<String, VersionedEntry>,
+    /// The digest of the entries in `servers`.
+    digest: ContentDigest,
     history: History,
 }
 
@@ -38,6 +41,12 @@
         self.position
     }
 
+    /// Returns the digest of the content. Tables at the same position of an epoch other than
+    /// [`crate::PROVISIONAL_EPOCH`] have the same digest.
+    pub fn digest(&self) -> u64 {
+        self.digest.value()
+    }
+
     /// Returns the number of servers in the table.
     pub fn len(&self) -> usize {
         self.servers.len()
@@ -93,6 +102,14 @@
         Ok(has_changed)
     }
 
+    /// Advances the position without a change of the content, and forgets the history, so that every reader
+    /// gets the full list. This repairs readers whose content is not that of their position. Only the writer
+    /// of the table's epoch may call it.
+    pub fn restate(&mut self) {
+        self.position = self.next_position(self.position.epoch);
+        self.history = History::starting_at(self.position);
+    }
+
     /// Applies a delta that another process computed with [`ServerTable::delta_since`]; returns whether the
     /// position advanced. A delta to the table's own position or an earlier one has no effect.
     ///
@@ -155,6 +172,7 @@
     /// position of the delta.
     fn apply_full(&mut self, delta: &ServerDelta) {
         self.servers.clear();
+        self.digest = ContentDigest::default();
         for entry in &delta.entries {
             self.insert(entry.id.clone(), entry.clone(), delta.position);
         }
@@ -163,7 +181,10 @@
     }
 
     fn insert(&mut self, id: String, entry: ServerEntry, changed_at: TablePosition) {
-        self.servers.insert(id, VersionedEntry { entry, changed_at });
+        self.digest.toggle(&entry);
+        if let Some(replaced) = self.servers.insert(id, VersionedEntry { entry, changed_at }) {
+            self.digest.toggle(&replaced.entry);
+        }
     }
 
     /// Inserts or updates a listed entry; returns whether the entry changed.
@@ -182,7 +203,9 @@
 
     fn remove(&mut self, ids: Vec<String>, position: TablePosition) {
         for id in ids {
-            self.servers.remove(&id);
+            if let Some(removed) = self.servers.remove(&id) {
+                self.digest.toggle(&removed.entry);
+            }
             self.history.record_removal(position, id);
         }
     }
--- a/crates/distribution/tests/server_table.rs
+++ b/crates/distribution/tests/server_table.rs
@@ -248,7 +248,7 @@
     const IDS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
     let mut random = Rng::with_seed(seed);
     let mut tables: Vec<ServerTable> = (0..PROCESSES).map(|_| ServerTable::new()).collect();
-    let mut contents: std::collections::BTreeMap<TablePosition, Vec<String>> = Default::default();
+    let mut contents: std::collections::BTreeMap<TablePosition, (Vec<String>, u64)> = Default::default();
     let mut updates: Vec<DirectUpdate> = Vec::new();
     let (mut epoch, mut writer) = (1, 0);
     for _ in 0..300 {
@@ -259,7 +259,7 @@
                 let before = tables[writer].position();
                 if tables[writer].replace(epoch, entries(&listed)) == Ok(true) {
                     let content = tables[writer].entries().map(|entry| entry.id.clone()).collect();
-                    contents.insert(tables[writer].position(), content);
+                    contents.insert(tables[writer].position(), (content, tables[writer].digest()));
                     let mut delta = tables[writer].delta_since(before).expect("the position has advanced");
                     delta.base = delta.base.filter(|_| sends_bases);
                     let received_by = (0..PROCESSES).filter(|to| *to != writer);
@@ -287,7 +287,8 @@
         }
         for table in tables.iter().filter(|table| table.position() != TablePosition::default()) {
             let ids: Vec<String> = table.entries().map(|entry| entry.id.clone()).collect();
-            assert_eq!(Some(&ids), contents.get(&table.position()), "seed {seed} at {:?}", table.position());
+            let expected = contents.get(&table.position());
+            assert_eq!(Some(&(ids, table.digest())), expected, "seed {seed} at {:?}", table.position());
         }
     }
 }
@@ -360,6 +361,25 @@
     let mut table = table_of(&[(1, &["a"])]);
     assert_eq!(table.replace(1, vec![listed.clone()]), Ok(true));
     assert_eq!(table.delta_since(at(1, 1)).map(|delta| delta.entries), Some(vec![listed]));
+    assert_ne!(table.digest(), table_of(&[(1, &["a"])]).digest());
+}
+
+/// Processes of different versions and architectures compare their digests.
+#[test]
+fn digest_is_fixed_and_leaves_out_the_warmup() {
+    let mut table = table_of(&[(1, &["a", "b"])]);
+    assert_eq!(table.digest(), 0x2779a63b9823afdd);
+    table.replace(1, vec![entry("b"), ServerEntry { warmup_remaining_ms: 9, ..entry("a") }]).unwrap();
+    assert_eq!(table.digest(), table_of(&[(7, &["a", "b"])]).digest());
+}
+
+#[test]
+fn restated_list_is_sent_in_full_to_every_reader() {
+    let mut table = table_of(&[(2, &["a"]), (2, &["a", "b"])]);
+    let digest = table.digest();
+    table.restate();
+    assert_eq!((table.position(), table.digest()), (at(2, 3), digest));
+    assert!(table.delta_since(at(2, 2)).is_some_and(|delta| delta.is_full && delta.entries.len() == 2));
 }
 
 /// Only the ends of epochs count towards the bound, not the changes within an epoch.
--- a/crates/invariants/src/invariant.rs
+++ b/crates/invariants/src/invariant.rs
@@ -42,6 +42,8 @@
     /// An operator's read is linearizable: it does not return a configuration older than the latest one known
     /// to be committed when the read began.
     ReadIsNewest => "read_is_newest",
+    /// Control processes at the same position of the server list have the same list.
+    OneListPerPosition => "one_list_per_position",
     /// Each fencing token belongs to at most one lease holder.
     OneHolderPerToken => "one_holder_per_token",
     /// No order is sent to a server after the sender's lease has expired.
