Acknowledge only a configuration that its consumers read as it was validated

What callers saw: a configuration in which one route had TimeoutMs twice was acknowledged and never in force. Fronts answered 404 on its route; one that started later answered 503 to everything (CONFIG).

Cause: `Configuration::parse` validated a `serde_json::Value`, in which the last of two equal names wins. The proxy and the stage planner read the same bytes straight into the struct, where serde rejects a field that stands twice.

Evidence: with both readings as before, 8 tests fail: the 6 places of a name that stands twice, the reading of such a text from the history, and `an_accepted_configuration_is_read_as_it_was_validated`, which edits a valid text at random and finds such a text within its 4,000 cases.

Change: a name that stands twice in any object of a configuration or a patch is rejected with its place (`unique_names`). What `parse` returns comes from `parse_unchecked` of the same bytes. Texts that earlier versions acknowledged may have such names; `parse_unchecked` takes the last value there, as it was validated.

Why it works: both readings are one function of the same bytes, so the second can't fail or differ where the first succeeded.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,7 +1,7 @@
 //! Validation of a configuration from the operator: first against the schema, then against the rules that a
 //! schema cannot express.
 
-use crate::{Configuration, Route, SCHEMA};
+use crate::{Configuration, Route, SCHEMA, unique_names};
 use jsonschema::Validator;
 use serde_json::Value;
 use std::collections::HashSet;
@@ -12,6 +12,8 @@
 pub enum ConfigErrorKind {
     /// The bytes are not JSON.
     NotJson,
+    /// An object has a name twice, so that its value is ambiguous.
+    DuplicateField,
     /// The text does not match the schema: a field is missing or has a wrong type or value.
     Schema,
     /// A route refers to a service that does not exist.
@@ -70,8 +72,7 @@
     /// Parses JSON text and validates it against the schema. The error names the first location that does not
     /// match.
     pub(crate) fn parse(&self, bytes: &[u8]) -> Result<Value, ConfigError> {
-        let value: Value = serde_json::from_slice(bytes)
-            .map_err(|error| ConfigError::new(ConfigErrorKind::NotJson, "", error.to_string()))?;
+        let value = unique_names::parse(bytes)?;
         let validator = self.validator();
         let validator = validator
             .ok_or_else(|| ConfigError::new(ConfigErrorKind::Schema, "", "the schema can't be read"))?;
@@ -86,10 +87,12 @@
 static CONFIGURATION_SCHEMA: LazySchema = LazySchema::new(SCHEMA);
 
 impl Configuration {
-    /// Parses and validates the JSON text of a configuration.
+    /// Parses and validates the JSON text of a configuration. The result is what
+    /// [`Configuration::parse_unchecked`] returns for the same text, so that every reader of a configuration
+    /// that was accepted gets the value that was validated.
     pub fn parse(bytes: &[u8]) -> Result<Configuration, ConfigError> {
-        let value = CONFIGURATION_SCHEMA.parse(bytes)?;
-        let configuration: Configuration = serde_json::from_value(value)
+        CONFIGURATION_SCHEMA.parse(bytes)?;
+        let configuration = Configuration::parse_unchecked(bytes)
             .map_err(|error| ConfigError::new(ConfigErrorKind::Schema, "", error.to_string()))?;
         configuration.validate()?;
         Ok(configuration)
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -10,6 +10,7 @@
 mod model;
 mod patch;
 mod route_table;
+mod unique_names;
 
 pub use check::{ConfigError, ConfigErrorKind};
 pub use model::{
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -183,8 +183,11 @@
 
 impl Configuration {
     /// Parses JSON text that [`Configuration::parse`] has accepted before, without validating it again.
+    ///
+    /// Earlier versions accepted text in which an object has a name twice, and validated the last value. Such
+    /// text may still be in the history, so the last value is used here as well.
     pub fn parse_unchecked(bytes: &[u8]) -> Result<Configuration, serde_json::Error> {
-        serde_json::from_slice(bytes)
+        serde_json::from_slice(bytes).or_else(|_| serde_json::from_value(serde_json::from_slice(bytes)?))
     }
 
     /// The service with this name, if there is one.
--- a/crates/config/tests/configuration.rs
+++ b/crates/config/tests/configuration.rs
@@ -1,6 +1,9 @@
 //! Tests of the validation of configurations and of the route lookup.
 
 use lugwharf_config::{ConfigErrorKind, Configuration, RouteKind, RouteTable, RouteTarget};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::{Index, select};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -93,6 +96,32 @@
     }
 }
 
+/// Guards against a configuration that is acknowledged by one reading of its text and can't be read by its
+/// consumers (`review/1`).
+#[rstest]
+#[case::of_a_route("\"TimeoutMs\":2500", "\"TimeoutMs\":0,\"TimeoutMs\":2500", "/Routes/0/TimeoutMs")]
+#[case::of_a_split("\"Weight\":10", "\"Weight\":9,\"Weight\":10", "/Routes/1/TrafficSplit/1/Weight")]
+#[case::of_the_limits("\"Limits\":{", "\"Limits\":{\"MaxBodyBytes\":1,", "/Limits/MaxBodyBytes")]
+#[case::of_the_configuration("\"Version\":7", "\"Version\":7,\"Version\":7", "/Version")]
+#[case::that_is_unknown("\"Version\":7", "\"Version\":7,\"a/~\":1,\"a/~\":1", "/a~1~0")]
+#[case::by_an_escape("\"Version\":7", "\"Version\":7,\"V\\u0065rsion\":7", "/Version")]
+fn a_name_that_stands_twice_is_rejected_with_its_place(
+    #[case] once: &str, #[case] twice: &str, #[case] field: &str,
+) {
+    let text = valid_configuration().to_string().replacen(once, twice, 1);
+    let error = Configuration::parse(text.as_bytes()).expect_err("the configuration is ambiguous");
+    assert_eq!((error.kind, error.field.as_str()), (ConfigErrorKind::DuplicateField, field), "{error}");
+}
+
+/// Earlier versions acknowledged such a configuration, after they had validated the last value.
+#[test]
+fn last_value_is_read_from_an_acknowledged_configuration_with_a_name_twice() {
+    let text = valid_configuration().to_string();
+    let twice = text.replacen("\"TimeoutMs\":2500", "\"TimeoutMs\":0,\"TimeoutMs\":2500", 1);
+    let read = Configuration::parse_unchecked(twice.as_bytes()).expect("the configuration can be read");
+    assert_eq!(read, parse(&valid_configuration()).expect("the configuration is valid"));
+}
+
 #[rstest]
 #[case("a.example", "/x/1", Some(0))]
 #[case("A.Example:80", "/x/y", Some(0))]
@@ -107,3 +136,57 @@
     let configuration = parse(&valid_configuration()).expect("the configuration is valid");
     assert_eq!(RouteTable::new(&configuration).find(&configuration, host, path), route);
 }
+
+/// One edit of a text: the bytes from a position on are repeated, removed or overwritten.
+#[derive(Clone, Debug)]
+enum Edit {
+    Repeat { at: Index, length: usize },
+    Remove { at: Index, length: usize },
+    Overwrite { at: Index, with: &'static str },
+}
+
+/// Texts that turn a valid configuration into one that some parsers accept and others do not.
+const FRAGMENTS: [&str; 14] =
+    ["0", "-", "1e400", "1.0", "null", "\"", "{", "}", "[", "]", ",", ":", "\"Version\":1,", "\\u0000"];
+
+fn edits() -> impl Strategy<Value = Vec<Edit>> {
+    let edit = prop_oneof![
+        (any::<Index>(), 1..40_usize).prop_map(|(at, length)| Edit::Repeat { at, length }),
+        (any::<Index>(), 1..8_usize).prop_map(|(at, length)| Edit::Remove { at, length }),
+        (any::<Index>(), select(&FRAGMENTS[..])).prop_map(|(at, with)| Edit::Overwrite { at, with }),
+    ];
+    vec(edit, 0..4)
+}
+
+fn apply(text: &mut String, edit: &Edit) {
+    let (at, length) = match edit {
+        Edit::Repeat { at, length } | Edit::Remove { at, length } => (at.index(text.len()), *length),
+        Edit::Overwrite { at, with } => (at.index(text.len()), with.len()),
+    };
+    let end = (at + length).min(text.len());
+    let replacement = match edit {
+        Edit::Repeat { .. } => text[at..end].repeat(2),
+        Edit::Remove { .. } => String::new(),
+        Edit::Overwrite { with, .. } => (*with).to_owned(),
+    };
+    text.replace_range(at..end, &replacement);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: ProptestConfig::default().cases.max(4_000), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against a configuration that is acknowledged and that a consumer can't read, or reads otherwise.
+    #[test]
+    fn an_accepted_configuration_is_read_as_it_was_validated(edits in edits()) {
+        let mut text = valid_configuration().to_string();
+        for edit in &edits {
+            apply(&mut text, edit);
+        }
+        if let Ok(accepted) = Configuration::parse(text.as_bytes()) {
+            let read = Configuration::parse_unchecked(text.as_bytes());
+            prop_assert_eq!(read.ok(), Some(accepted.clone()), "{}", text);
+            let by_value: Value = serde_json::from_str(&text).expect("the text is JSON");
+            prop_assert_eq!(serde_json::from_value(by_value).ok(), Some(accepted), "{}", text);
+        }
+    }
+}
