Agent: send an update that the proxy does not apply again after a delay

Cause: the agent answers each report that is behind at once, and the proxy reports after each update, also one that it did not apply.

Why it works: any update that the proxy applies changes the versions that it reports, so that only useless retries wait.

--- a/crates/agent/src/feed.rs
+++ b/crates/agent/src/feed.rs
@@ -1,5 +1,6 @@
 //! Feeds the proxy of this machine: the proxy reports which versions it has applied and is sent newer ones.
 
+use crate::backoff::Backoff;
 use crate::table_owner::Command;
 use lugwharf_protocol::{FeedMessage, FrameError, ProxyReport, VersionVector, read_frame, write_frame};
 use spdlog::prelude::*;
@@ -10,6 +11,10 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep;
 
+#[cfg(test)]
+#[path = "feed_tests.rs"]
+mod feed_tests;
+
 /// The delay before the next attempt after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -59,22 +64,31 @@
     Ok(())
 }
 
-/// Sends everything that is newer than the version vector last reported by the proxy.
+/// Sends everything that is newer than the version vector last reported by the proxy. An update that the proxy
+/// did not apply is sent again after a delay, since the proxy may not be able to apply it at all.
 async fn write_updates(
     mut writer: OwnedWriteHalf, mut reports: watch::Receiver<Option<VersionVector>>,
     commands: &mpsc::Sender<Command>,
 ) -> Result<(), FrameError> {
+    let mut retry_delay = Backoff::new(fastrand::u64(..));
+    let mut last_sent_for = None;
     loop {
         let Some(have) = *reports.borrow_and_update() else {
             reports.changed().await.map_err(|_| table_owner_ended())?;
             continue;
         };
+        if last_sent_for == Some(have) {
+            sleep(retry_delay.next()).await;
+        } else {
+            retry_delay.reset();
+        }
         let (reply, newer) = oneshot::channel();
         commands.send(Command::AwaitUpdate { have, reply }).await.map_err(|_| table_owner_ended())?;
         tokio::select! {
             update = newer => {
                 let update = update.map_err(|_| table_owner_ended())?;
                 write_frame(&mut writer, &FeedMessage::Update(update)).await?;
+                last_sent_for = Some(have);
             }
             changed = reports.changed() => {
                 changed.map_err(|_| table_owner_ended())?;
--- a/crates/proxy/src/agent_feed_tests.rs
+++ b/crates/proxy/src/agent_feed_tests.rs
@@ -120,3 +120,21 @@
     })
     .await;
 }
+
+/// Guards against a configuration that the proxy can't read and that is logged each time the agent sends it.
+#[tokio::test]
+async fn unreadable_configuration_is_counted_and_leaves_the_one_in_force() {
+    with_agent(async |agent, state| {
+        let (mut agent, _) = accept(agent).await;
+        write_frame(&mut agent, &config(7)).await.expect("the bytes are written");
+        let unreadable = Some(ConfigRecord { version: 8, bytes: b"{".to_vec() });
+        let update = FeedMessage::Update(Update { config: unreadable, ..Update::default() });
+        for count in 0..3 {
+            let report: ProxyReport =
+                read_frame(&mut agent).await.expect("the frame is valid").expect("the proxy sends a report");
+            assert_eq!((report.have.config, state.metrics.unreadable_configs.get()), (7, count));
+            write_frame(&mut agent, &update).await.expect("the bytes are written");
+        }
+    })
+    .await;
+}
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -6,7 +6,7 @@
 
 use crate::outbound::ConnectionPool;
 use crate::routes::Routes;
-use crate::telemetry::metrics::Metrics;
+use crate::telemetry::metrics::{Metrics, increment};
 use lugwharf_config::{Configuration, Limits};
 use lugwharf_invariants::{Invariant, check};
 use lugwharf_protocol::{Update, VersionVector};
@@ -38,6 +38,8 @@
     routes: RefCell<Option<Rc<Routes>>>,
     /// Idle client connections wait for changes of the limits, so that the idle timeout follows them.
     limits: watch::Sender<Limits>,
+    /// The version that could not be read last, or 0.
+    unreadable_version: Cell<u64>,
     is_draining: Cell<bool>,
     /// Whether client connections are no longer admitted.
     is_admission_stopped: Cell<bool>,
@@ -66,6 +68,7 @@
             metrics: Metrics::new(),
             routes: RefCell::default(),
             limits: watch::Sender::default(),
+            unreadable_version: Cell::new(0),
             is_draining: Cell::new(false),
             is_admission_stopped: Cell::new(false),
             started: Instant::now(),
@@ -180,13 +183,19 @@
                     );
                     self.set_configuration(configuration);
                 }
-                Err(error) => {
-                    spdlog::error!("config version={} outcome=unreadable error={error}", record.version)
-                }
+                Err(error) => self.record_unreadable(record.version, &error),
             }
         }
     }
 
+    /// Counts a configuration that can't be read, and logs it once: the agent sends it again.
+    fn record_unreadable(&self, version: u64, error: &serde_json::Error) {
+        increment(&self.metrics.unreadable_configs);
+        if self.unreadable_version.replace(version) != version {
+            spdlog::error!("config version={version} outcome=unreadable error={error}");
+        }
+    }
+
     fn set_configuration(&self, configuration: Configuration) {
         let (before, version) = (self.versions().config, configuration.version);
         check(Invariant::ProxyVersionClimbs, version > before, || {
--- a/crates/proxy/src/telemetry/metrics.rs
+++ b/crates/proxy/src/telemetry/metrics.rs
@@ -27,6 +27,8 @@
     pub handles_freed: Cell<u64>,
     /// Unused KV handles that could not be freed. They expire at their prefill servers.
     pub handles_not_freed: Cell<u64>,
+    /// Configurations that could not be read, each time that the agent sent one.
+    pub unreadable_configs: Cell<u64>,
     /// Log lines about failed requests that were omitted because of the rate limit.
     omitted_log_lines: Cell<u64>,
     log_limiters: RefCell<[LogRateLimiter; RequestOutcome::COUNT]>,
@@ -47,6 +49,7 @@
             budget_denials: Cell::new(0),
             handles_freed: Cell::new(0),
             handles_not_freed: Cell::new(0),
+            unreadable_configs: Cell::new(0),
             omitted_log_lines: Cell::new(0),
             log_limiters: RefCell::new(std::array::from_fn(limiter)),
         }
@@ -83,6 +86,7 @@
             ("budget_denials", "Retries that the retry budget did not allow", &self.budget_denials),
             ("handles_freed", "KV handles that were freed unused", &self.handles_freed),
             ("handles_left", "KV handles that could not be freed", &self.handles_not_freed),
+            ("configs_unreadable", "Configurations that could not be read", &self.unreadable_configs),
             ("request_lines_omitted", "Log lines about failed requests omitted", &self.omitted_log_lines),
         ];
         for (name, help, counter) in counters {
--- a/crates/proxy/src/telemetry/metrics_tests.rs
+++ b/crates/proxy/src/telemetry/metrics_tests.rs
@@ -10,11 +10,12 @@
 use crate::telemetry::metrics_endpoint::render;
 use crate::telemetry::outcome::{AttemptLabel, RequestOutcome};
 
-const EXPECTED_LINES: [&str; 54] = [
+const EXPECTED_LINES: [&str; 56] = [
     "# TYPE lugwharf_proxy_body_bytes gauge",
     "# TYPE lugwharf_proxy_budget_denials counter",
     "# TYPE lugwharf_proxy_clients gauge",
     "# TYPE lugwharf_proxy_config_version gauge",
+    "# TYPE lugwharf_proxy_configs_unreadable counter",
     "# TYPE lugwharf_proxy_draining gauge",
     "# TYPE lugwharf_proxy_handles_freed counter",
     "# TYPE lugwharf_proxy_handles_left counter",
@@ -30,6 +31,7 @@
     "lugwharf_proxy_budget_denials_total 1",
     "lugwharf_proxy_clients 1",
     "lugwharf_proxy_config_version 0",
+    "lugwharf_proxy_configs_unreadable_total 4",
     "lugwharf_proxy_draining 0",
     "lugwharf_proxy_handles_freed_total 2",
     "lugwharf_proxy_handles_left_total 3",
@@ -108,6 +110,7 @@
     increment(&state.metrics.budget_denials);
     (0..2).for_each(|_| increment(&state.metrics.handles_freed));
     (0..3).for_each(|_| increment(&state.metrics.handles_not_freed));
+    (0..4).for_each(|_| increment(&state.metrics.unreadable_configs));
     // A burst of five lines is logged, and two more are omitted.
     let outcome = RequestOutcome::Rejected(RequestError::Saturated);
     let logged = (0..7).filter(|_| state.metrics.try_acquire_log_permit(state.now(), outcome).is_some());
