Control: read the server list at the platform's address in force

What callers saw: a new platform address in the settings file took effect at the next start of the lease holder only, also after SIGHUP.

Cause: the list watcher took the address when it was started.

Evidence: `next_read_goes_to_the_address_in_force` compares the next read with a changed address; `run` had no parameter through which it could change.

Change: the controller hands the address to the list watcher by a watch channel. The client drops its connection when the address has changed.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -38,7 +38,7 @@
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 #[cfg(test)]
@@ -132,6 +132,8 @@
     live_nodes: LiveNodeCounter,
     fleet_load: FleetLoad,
     stage_planning: StagePlanning,
+    /// The address of the platform for the list watcher; `None` if the deployment has no platform.
+    platform_address: Option<watch::Sender<SocketAddr>>,
     peer_transport: PeerTransport,
     process_directory: ProcessDirectory,
     report_schedule: MinInterval,
@@ -198,12 +200,15 @@
         }
     }
 
-    /// Applies the settings that may change while the process runs, which are the seeds. This also discards
-    /// the seeds that were learned from announcements. The listening addresses and the data directory do not
-    /// change.
+    /// Applies the settings that may change while the process runs: the seeds, and the address of the platform
+    /// if the process started with one. This also discards the seeds that were learned from announcements. The
+    /// listening addresses and the data directory do not change.
     fn reload(&mut self, settings: Settings) {
         info!("settings", kv: { outcome = "reloaded", seeds = settings.seeds.len() });
         self.replica.set_seeds(replica_seeds(&settings));
+        if let (Some(address), Some(cloud)) = (&self.platform_address, &settings.cloud) {
+            address.send_replace(cloud.address);
+        }
         self.settings = settings;
     }
 
--- a/crates/control/src/controller/startup.rs
+++ b/crates/control/src/controller/startup.rs
@@ -38,7 +38,7 @@
 use spdlog::prelude::*;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 /// The maximum number of configurations that a front-end node is sent within `ConfigMs`, the time in which a
@@ -87,22 +87,33 @@
     Ok(Recovered { replica, elector, actions })
 }
 
+/// The objects that control the tasks that act under the lease.
+struct LeaseTasks {
+    list_watcher_role: ListWatcherRole,
+    stage_planning: StagePlanning,
+    /// The address of the platform for the list watcher; `None` if the deployment has no platform.
+    platform_address: Option<watch::Sender<SocketAddr>>,
+}
+
 /// Starts the tasks that act under the lease: the list watcher, the sender of orders and the reader of server
 /// reports. Returns the objects that control them.
 fn start_lease_tasks(
     settings: &Settings, stage_tuning: StageTuning, commands: &mpsc::Sender<Command>,
-) -> (ListWatcherRole, StagePlanning) {
+) -> LeaseTasks {
     let (list_watcher_role, lease) = ListWatcherRole::new();
     let (order_queue, orders) = mpsc::channel(ORDER_QUEUE_CAPACITY);
     let lease = LeaseWatch::new(lease);
     let (report_queue, report_requests) = mpsc::channel(REPORT_QUEUE_CAPACITY);
     tokio::spawn(orders::run(orders, lease.clone(), commands.clone()));
     tokio::spawn(server_reports::run(report_requests, lease.clone(), commands.clone()));
-    if let Some(cloud) = settings.cloud.clone() {
-        tokio::spawn(list_watcher::initial_read(cloud.clone(), commands.clone()));
-        tokio::spawn(list_watcher::run(cloud, lease, commands.clone()));
-    }
-    (list_watcher_role, StagePlanning::new(stage_tuning, order_queue, report_queue))
+    let platform_address = settings.cloud.as_ref().map(|cloud| {
+        let (sender, address) = watch::channel(cloud.address);
+        tokio::spawn(list_watcher::initial_read(cloud.address, commands.clone()));
+        tokio::spawn(list_watcher::run(address, lease, commands.clone()));
+        sender
+    });
+    let stage_planning = StagePlanning::new(stage_tuning, order_queue, report_queue);
+    LeaseTasks { list_watcher_role, stage_planning, platform_address }
 }
 
 impl Controller {
@@ -122,7 +133,8 @@
         let started_at = Instant::now();
         let Recovered { replica, elector, actions } = recover(&settings, &log)
             .map_err(|error| eyre!("recovering from the log in {}: {error}", directory.display()))?;
-        let (list_watcher_role, stage_planning) = start_lease_tasks(&settings, stage_tuning, &commands);
+        let LeaseTasks { list_watcher_role, stage_planning, platform_address } =
+            start_lease_tasks(&settings, stage_tuning, &commands);
         let config_interval = Duration::from_millis(settings.bounds.config_ms / CONFIGS_PER_BOUND);
         let local_address = local_address(&settings);
         let mut controller = Controller {
@@ -142,6 +154,7 @@
             live_nodes: LiveNodeCounter::new(LiveNodeCounterSettings::default(), Duration::ZERO),
             fleet_load: FleetLoad::default(),
             stage_planning,
+            platform_address,
             process_directory: ProcessDirectory::default(),
             report_schedule: MinInterval::new(EXCHANGE_INTERVAL),
             gap_recovery: GapRecovery::default(),
--- a/crates/control/src/list_watcher.rs
+++ b/crates/control/src/list_watcher.rs
@@ -10,10 +10,10 @@
 use crate::lease::LeaseWatch;
 use crate::platform_client::{PlatformClient, PlatformError};
 use lugwharf_election::FencingToken;
-use lugwharf_settings::Cloud;
 use spdlog::prelude::*;
+use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// The interval between two reads. Every front-end node must learn that a server is leaving within `DrainMs`
@@ -33,8 +33,8 @@
 const MAX_INITIAL_READS: u32 = 6;
 
 /// Reads the list once after a start, without a lease, unless a peer has already sent it.
-pub async fn initial_read(cloud: Cloud, commands: mpsc::Sender<Command>) {
-    let mut client = PlatformClient::new(cloud.address);
+pub async fn initial_read(platform: SocketAddr, commands: mpsc::Sender<Command>) {
+    let mut client = PlatformClient::new(platform);
     for _ in 0..MAX_INITIAL_READS {
         sleep(INITIAL_READ_DELAY).await;
         let (reply, is_needed) = oneshot::channel();
@@ -51,9 +51,11 @@
 
 /// Reads the list while this process holds the lease. Each page is requested only if the lease has not
 /// expired by the clock, because after a pause of the process this task may run before the controller notices
-/// the expiry.
-pub async fn run(cloud: Cloud, mut lease: LeaseWatch, commands: mpsc::Sender<Command>) {
-    let mut client = PlatformClient::new(cloud.address);
+/// the expiry. `platform` is the address of the platform, which a reload of the settings may change.
+pub async fn run(
+    platform: watch::Receiver<SocketAddr>, mut lease: LeaseWatch, commands: mpsc::Sender<Command>,
+) {
+    let mut client = PlatformClient::new(*platform.borrow());
     loop {
         let Some(token) = lease.current_token() else {
             if lease.changed().await.is_none() {
@@ -61,7 +63,7 @@
             }
             continue;
         };
-        if watch_under_lease(&mut client, token, &mut lease, &commands).await.is_none() {
+        if watch_under_lease(&mut client, &platform, token, &mut lease, &commands).await.is_none() {
             return;
         }
     }
@@ -69,14 +71,15 @@
 
 /// Reads the list until the lease with this token is lost. Returns `None` if the process is ending.
 async fn watch_under_lease(
-    client: &mut PlatformClient, token: FencingToken, lease: &mut LeaseWatch,
-    commands: &mpsc::Sender<Command>,
+    client: &mut PlatformClient, platform: &watch::Receiver<SocketAddr>, token: FencingToken,
+    lease: &mut LeaseWatch, commands: &mpsc::Sender<Command>,
 ) -> Option<()> {
     let mut failures = 0;
     let mut outage = PlatformOutage::default();
     loop {
         let started_at = Instant::now();
         let current = lease.clone();
+        client.set_address(*platform.borrow());
         let read = tokio::select! {
             read = client.list_servers(|| current.holds(token)) => read,
             changed = lease.changed() => return changed,
--- a/crates/control/src/list_watcher_tests.rs
+++ b/crates/control/src/list_watcher_tests.rs
@@ -1,12 +1,13 @@
 //! Tests of when the list watcher may send a request, and of when an outage makes it step down.
 
+use crate::command::Command;
 use crate::lease::{HeldLease, LeaseWatch};
 use crate::list_watcher::{PlatformOutage, run};
 use crate::platform_client::PlatformError;
 use hyper::StatusCode;
 use lugwharf_election::FencingToken;
-use lugwharf_settings::Cloud;
 use rstest::rstest;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
@@ -61,9 +62,34 @@
     let (_lease_sender, lease) =
         watch::channel(Some(HeldLease { token: FencingToken(7), expires_at: Instant::now() + remaining }));
     let (commands, _queue) = mpsc::channel(1);
-    tokio::spawn(run(Cloud { address, rate_per_s: 1.0, lag_ms: 0 }, LeaseWatch::new(lease), commands));
+    let (_platform, address) = watch::channel(address);
+    tokio::spawn(run(address, LeaseWatch::new(lease), commands));
     let (mut stream, _) = platform.accept().await.expect("cannot accept a connection");
     let mut bytes = [0; 64];
     let received = timeout(Duration::from_millis(500), stream.read(&mut bytes)).await;
     assert_eq!(received.is_ok_and(|read| read.is_ok_and(|bytes| bytes > 0)), is_requested);
 }
+
+/// Guards against a platform at a new address that waits for a restart of the lease holder.
+#[tokio::test(start_paused = true)]
+async fn next_read_goes_to_the_address_in_force() {
+    let [first, second] = [listen().await, listen().await];
+    let expires_at = Instant::now() + Duration::from_secs(60);
+    let (_lease_sender, lease) = watch::channel(Some(HeldLease { token: FencingToken(7), expires_at }));
+    let (commands, mut queue) = mpsc::channel(1);
+    let (platform, address) = watch::channel(address_of(&first));
+    tokio::spawn(run(address, LeaseWatch::new(lease), commands));
+    drop(first.accept().await.expect("cannot accept a connection"));
+    platform.send_replace(address_of(&second));
+    assert!(matches!(queue.recv().await, Some(Command::ListReadFailed { .. })));
+    let (mut stream, _) = second.accept().await.expect("cannot accept a connection");
+    assert!(stream.read(&mut [0; 64]).await.is_ok_and(|bytes| bytes > 0));
+}
+
+async fn listen() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.expect("cannot bind a listener")
+}
+
+fn address_of(listener: &TcpListener) -> SocketAddr {
+    listener.local_addr().expect("cannot read the address of the listener")
+}
--- a/crates/control/src/platform_client.rs
+++ b/crates/control/src/platform_client.rs
@@ -128,6 +128,13 @@
         PlatformClient { address, sender: None }
     }
 
+    /// Uses the platform at `address` from the next request on.
+    pub fn set_address(&mut self, address: SocketAddr) {
+        if address != self.address {
+            *self = PlatformClient::new(address);
+        }
+    }
+
     /// Reads all pages. Each page is requested only if `may_request` returns true immediately before the
     /// request is sent.
     ///
