Ignore a Keep-Alive timeout that the clock can't represent

What callers saw: after a response with `Keep-Alive: timeout=` and a number near 2^64, the client's connection ended, with any request already sent on it.

Cause: the time at which the server closes the connection was computed by an addition that panics on overflow, which ended the task of the connection.

Change: `checked_add`; a time beyond the clock is taken for none, so that the pool's own limit on idle time applies.

--- a/crates/proxy/src/outbound/response.rs
+++ b/crates/proxy/src/outbound/response.rs
@@ -40,7 +40,8 @@
             return;
         }
         let timeout = keep_alive_timeout(&self.head);
-        self.connection.server_closes_at = timeout.map(|timeout| Instant::now() + timeout);
+        // A time that the clock can't represent is as good as none.
+        self.connection.server_closes_at = timeout.and_then(|timeout| Instant::now().checked_add(timeout));
         if let Some(connection) = self.connection.into_idle() {
             state.pool.checkin(self.key, connection);
         }
