--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -31,7 +31,7 @@
 mod table_owner;
 
 use eyre::{Result, WrapErr};
-use lugwharf_settings::Settings;
+use lugwharf_settings::{Settings, SettingsFollower};
 use lugwharf_telemetry::MetricsEndpoint;
 use metrics::AgentMetrics;
 use spdlog::prelude::*;
@@ -66,9 +66,10 @@
     pub announced: watch::Sender<Vec<SocketAddr>>,
 }
 
-/// Runs the agent until SIGTERM. On SIGHUP it reads the settings file again and uses the new seeds.
+/// Runs the agent until SIGTERM. It reads the settings file again when that has changed, and on SIGHUP, and
+/// uses the new seeds.
 pub async fn run(settings: Settings, options: AgentOptions) -> Result<()> {
-    let mut hangup = signal(SignalKind::hangup()).wrap_err("SIGHUP")?;
+    let mut follower = SettingsFollower::new(&settings).wrap_err("SIGHUP")?;
     let mut terminate = signal(SignalKind::terminate()).wrap_err("SIGTERM")?;
     let feed_address = settings.feed_address();
     let listener =
@@ -86,7 +87,7 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
-            _ = hangup.recv() => match settings.reload() {
+            read = follower.next() => match read {
                 // The control link reads the newest settings between two passes.
                 Ok(settings) => drop(reload.send_replace(settings)),
                 Err(error) => warn!("settings", kv: { outcome = "not_reloaded", error: = error }),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -65,7 +65,7 @@
 use command::{Command, send_command};
 use controller::Controller;
 use eyre::{Result, WrapErr, eyre};
-use lugwharf_settings::Settings;
+use lugwharf_settings::{Settings, SettingsError, SettingsFollower};
 use lugwharf_stages::StageTuning;
 use lugwharf_telemetry::MetricsEndpoint;
 use metrics::RejectionCounters;
@@ -98,13 +98,14 @@
     pub stages: StageTuning,
 }
 
-/// Runs a control process until SIGTERM. On SIGHUP it reads the settings file again.
+/// Runs a control process until SIGTERM. It reads the settings file again when that has changed, and on
+/// SIGHUP.
 ///
 /// # Errors
 /// A required setting is missing, a signal handler or a listener can't be installed, the log can't be opened,
 /// or the controller ends unexpectedly.
 pub async fn run(settings: Settings, options: ControlOptions) -> Result<()> {
-    let mut hangup = signal(SignalKind::hangup()).wrap_err("SIGHUP")?;
+    let mut follower = SettingsFollower::new(&settings).wrap_err("SIGHUP")?;
     let mut terminate = signal(SignalKind::terminate()).wrap_err("SIGTERM")?;
     let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or(DEFAULT_GRACE);
     let control = settings.listen.control.ok_or_else(|| eyre!("settings: Listen.Control is missing"))?;
@@ -128,7 +129,7 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hangup.recv() => reload_settings(&settings, &commands).await,
+            read = follower.next() => apply_settings(read, &commands).await,
             ended = &mut controller => return Err(eyre!("the controller task ended unexpectedly: {ended:?}")),
         }
     }
@@ -136,9 +137,9 @@
     Ok(())
 }
 
-/// Reads the settings file again. If that fails, the present settings stay in effect.
-async fn reload_settings(settings: &Settings, commands: &mpsc::Sender<Command>) {
-    match settings.reload() {
+/// Applies settings that were read again. If that failed, the present settings stay in effect.
+async fn apply_settings(read: Result<Settings, SettingsError>, commands: &mpsc::Sender<Command>) {
+    match read {
         Ok(settings) => send_command(commands, Command::Reload { settings: Box::new(settings) }).await,
         Err(error) => warn!("settings", kv: { outcome = "not_reloaded", error: = error }),
     }
--- a/crates/emulator/src/cluster/mod.rs
+++ b/crates/emulator/src/cluster/mod.rs
@@ -61,6 +61,9 @@
     are_violations_reported: bool,
 }
 
+/// The name of the settings file in the directory of a process.
+const SETTINGS_FILE: &str = "settings.toml";
+
 impl Cluster {
     /// Prepares the directories and addresses. Starts no process.
     ///
@@ -99,6 +102,29 @@
         self.seeds = Some(seeds);
     }
 
+    /// Sets the seeds and replaces the settings files of all processes that have been started, without a
+    /// signal to any of them.
+    pub fn replace_seeds_without_signal(&mut self, seeds: Vec<SocketAddr>) -> io::Result<()> {
+        self.seeds = Some(seeds);
+        for index in 0..self.options.control_machines {
+            self.replace_settings(&control_name(index), &self.control_settings(index))?;
+        }
+        for index in 0..self.options.front_ends {
+            for role in FRONT_ROLES.into_iter().filter(|role| *role != AGENT || !self.hosts_control(index)) {
+                self.replace_settings(&self.front_name(index, role), &self.front_settings(index, role))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Replaces the settings file of a process that has been started.
+    fn replace_settings(&self, name: &str, spec: &SettingsSpec) -> io::Result<()> {
+        let directory = self.directory.join(name);
+        let replacement = directory.join("settings.new");
+        std::fs::write(&replacement, spec.to_toml())?;
+        std::fs::rename(replacement, directory.join(SETTINGS_FILE))
+    }
+
     /// Starts all processes of all machines, control processes first. The first call bootstraps the fleet.
     pub fn start_all(&mut self) -> io::Result<()> {
         for index in 0..self.options.control_machines {
@@ -162,7 +188,7 @@
     fn start_process(&mut self, name: &str, role: &str, spec: &SettingsSpec) -> io::Result<()> {
         let directory = self.directory.join(name);
         std::fs::create_dir_all(&directory)?;
-        let settings = directory.join("settings.toml");
+        let settings = directory.join(SETTINGS_FILE);
         std::fs::write(&settings, spec.to_toml())?;
         let metrics = if role == AGENT { ports::AGENT_METRICS } else { ports::METRICS };
         let mut arguments = self.options.arguments.clone();
--- a/crates/lugwharf/tests/hosted_control.rs
+++ b/crates/lugwharf/tests/hosted_control.rs
@@ -85,6 +85,27 @@
     assert_eq!(fleet.read_back().await, Some(bytes), "{}", fleet.cluster.logs());
 }
 
+/// Guards against seeds that change without a signal and that running processes never learn of (`review/2`):
+/// machines that restart afterwards know the new seeds alone, and no control process announces itself to them.
+#[tokio::test]
+async fn restarted_machines_find_control_after_seeds_changed_without_a_signal() {
+    let mut fleet = Fleet::start(Topology { fronts: 5, ..HOSTED }).await;
+    let gateways = [GATEWAY, GATEWAY + 1];
+    let seeds = gateways.map(|front| fleet.cluster.gateway_address(front)).to_vec();
+    fleet.cluster.replace_seeds_without_signal(seeds).expect("cannot replace the settings files");
+    let reloaded = || async { fleet.cluster.logs().matches("outcome=reloaded seeds=2").count() >= 3 };
+    assert!(poll(reloaded).await, "{}", fleet.cluster.logs());
+    for front in gateways {
+        for role in ["proxy", "agent"] {
+            fleet.cluster.kill_front(front, role).expect("cannot kill the process");
+        }
+    }
+    gateways.iter().for_each(|front| fleet.cluster.start_front(*front).expect("cannot start the processes"));
+    for front in gateways {
+        assert!(fleet.serves(front, "/work/").await, "front {front}\n{}", fleet.cluster.logs());
+    }
+}
+
 /// When an agent is lost, so is its replica. The proxy of the machine keeps serving.
 #[rstest]
 #[case(0)]
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -31,14 +31,14 @@
 use eyre::{OptionExt, WrapErr};
 use inbound::connections::ClientConnections;
 use lugwharf_routing::Tuning;
-use lugwharf_settings::Settings;
+use lugwharf_settings::{Settings, SettingsFollower};
 use lugwharf_telemetry::MetricsEndpoint;
 use state::ProxyState;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -93,7 +93,7 @@
         TcpListener::bind(front).await.wrap_err_with(|| format!("cannot bind Listen.Front {front}"))?;
     let ready =
         TcpListener::bind(ready).await.wrap_err_with(|| format!("cannot bind Listen.Ready {ready}"))?;
-    let sighup = signal(SignalKind::hangup()).wrap_err("cannot install the SIGHUP handler")?;
+    let follower = SettingsFollower::new(&settings).wrap_err("cannot install the SIGHUP handler")?;
     let state = ProxyState::new(&settings, options.tuning, random_seed(&settings));
     let connections = ClientConnections::new(settings.limits.max_fds);
     let grace = Duration::from_secs_f64(settings.bounds.grace_s.min(3_600.0));
@@ -105,7 +105,7 @@
     if let Some(endpoint) = endpoint {
         local.spawn_local(telemetry::metrics_endpoint::serve(state.clone(), connections.clone(), endpoint));
     }
-    local.spawn_local(reload_on_sighup(state.clone(), sighup, settings));
+    local.spawn_local(follow_settings(state.clone(), follower));
     let serving = async move {
         tokio::select! {
             () = stop => {}
@@ -134,10 +134,11 @@
     }
 }
 
-/// Rereads the settings file at each SIGHUP. If the file is invalid, the settings in force are kept.
-async fn reload_on_sighup(state: Rc<ProxyState>, mut sighup: Signal, settings: Settings) {
-    while sighup.recv().await.is_some() {
-        match settings.reload() {
+/// Applies the settings each time that the file was read again. If the file is invalid, the settings in force
+/// are kept.
+async fn follow_settings(state: Rc<ProxyState>, mut follower: SettingsFollower) {
+    loop {
+        match follower.next().await {
             Ok(settings) => {
                 state.reload(&settings);
                 spdlog::info!("settings outcome=reloaded");
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,10 +7,14 @@
 #![forbid(unsafe_code)]
 
 mod bounds;
+mod follower;
 mod ports;
+mod watched_file;
 
 pub use bounds::Bounds;
+pub use follower::SettingsFollower;
 pub use ports::{InternalPorts, PortRange};
+pub use watched_file::WatchedFile;
 
 use serde::Deserialize;
 use std::collections::BTreeMap;
