Close a client connection only after a response that announced the close

Callers saw: a client sent its next request behind a stream, or as soon as the stream had ended, while the proxy shut down. The proxy read the request whole, discarded it and closed the connection without an answer (LOST).

Cause: ResponseWriter decided twice whether the connection closes, when it wrote the head and when the response ended. A shutdown that began in between made the second decision differ from the first, which the client had been told.

The writer now decides once, for the head, and the end of the response follows that decision. The connection of such a response stays open for the next request, whose response announces the close, or closes at rest.

--- a/crates/proxy/src/inbound/response_writer.rs
+++ b/crates/proxy/src/inbound/response_writer.rs
@@ -47,7 +47,10 @@
 pub struct ResponseWriter<'a, 'b> {
     write: &'a mut WriteHalf<'b>,
     state: &'a ProxyState,
+    /// Whether the connection must close after the response, whatever the state of the process.
     wants_close: bool,
+    /// Whether the head that was written announced that the connection closes after the response.
+    has_announced_close: bool,
     is_http10: bool,
     /// The id of the request, which the response of a server must carry.
     request_id: Option<&'a [u8]>,
@@ -82,6 +85,7 @@
             write,
             state,
             wants_close: true,
+            has_announced_close: false,
             is_http10: false,
             request_id: None,
             has_started: false,
@@ -113,16 +117,21 @@
         String::from_utf8_lossy(self.request_id.unwrap_or(b"-")).into_owned()
     }
 
-    /// Returns whether the connection closes after the response: because the client wants it, because the
+    /// Decides whether the connection closes after the response: because the client wants it, because the
     /// connection was asked to close, or because the process is draining.
-    fn closes_connection(&self) -> bool {
-        self.wants_close || self.state.is_draining()
+    ///
+    /// Called once for each response, for its head. A client may send its next request behind a response that
+    /// announces no close, so the connection then stays open even if a shutdown begins before the response
+    /// ends.
+    fn decide_close(&mut self) -> bool {
+        self.has_announced_close = self.wants_close || self.state.is_draining();
+        self.has_announced_close
     }
 
     /// Returns how a response ended whose last bytes were written with this result.
     fn response_end(&self, written: io::Result<()>) -> ResponseEnd {
         match written {
-            Ok(()) if self.closes_connection() => ResponseEnd::CompleteAndClose,
+            Ok(()) if self.has_announced_close => ResponseEnd::CompleteAndClose,
             Ok(()) => ResponseEnd::Complete,
             Err(_) => ResponseEnd::Incomplete,
         }
@@ -134,7 +143,7 @@
             return ResponseEnd::Incomplete;
         }
         self.wants_close |= error.response().closes_connection;
-        let (close, jitter) = (self.closes_connection(), self.state.random_fraction());
+        let (close, jitter) = (self.decide_close(), self.state.random_fraction());
         let mut out = std::mem::take(&mut self.buffer);
         self.record_head(error.response().status);
         error.write(&mut out, self.request_id, close, jitter);
@@ -230,8 +239,7 @@
             BodyEncoding::Chunked if !self.is_http10 => append_field(out, "Transfer-Encoding", b"chunked"),
             BodyEncoding::Chunked | BodyEncoding::Empty => {}
         }
-        if self.closes_connection() {
-            self.wants_close = true;
+        if self.decide_close() {
             append_field(out, "Connection", b"close");
         }
         out.extend_from_slice(b"\r\n");
--- /dev/null
+++ b/crates/proxy/tests/connection_close.rs
@@ -0,0 +1,103 @@
+//! A connection that the proxy closes. Each request that the proxy has read whole is answered, unless the
+//! response before it has announced the close.
+
+mod support;
+
+use rstest::rstest;
+use support::*;
+
+/// A response whose head is written before its body is complete.
+#[derive(Clone, Copy, Debug)]
+enum PiecewiseResponse {
+    EventStream,
+    ChunkedBody,
+    LongBody,
+}
+
+impl PiecewiseResponse {
+    /// The number of bytes of a body that the proxy does not buffer.
+    const LONG_BODY_BYTES: usize = 70_000;
+
+    /// Returns the response in two parts, of which the first is forwarded when it arrives.
+    fn parts(self, id: &str) -> (String, String) {
+        match self {
+            PiecewiseResponse::EventStream => {
+                (format!("{}{}", stream_head(id), chunk(&event(1))), LAST_CHUNK.to_owned())
+            }
+            PiecewiseResponse::ChunkedBody => {
+                let head = stream_head(id).replace("text/event-stream", "text/plain");
+                (format!("{head}{}", chunk("first")), LAST_CHUNK.to_owned())
+            }
+            PiecewiseResponse::LongBody => {
+                let response = ok_response(id, &"x".repeat(Self::LONG_BODY_BYTES));
+                let (first, rest) = response.split_at(response.len() - 1);
+                (first.to_owned(), rest.to_owned())
+            }
+        }
+    }
+
+    /// Reads the rest of the body, whose head has been read.
+    async fn read_body(self, client: &mut Connection) {
+        match self {
+            PiecewiseResponse::EventStream | PiecewiseResponse::ChunkedBody => {
+                assert!(client.read_stream().await.1, "the body is complete");
+            }
+            PiecewiseResponse::LongBody => {
+                let body = client.read_exactly(Self::LONG_BODY_BYTES).await;
+                assert!(body.is_some(), "the body is complete");
+            }
+        }
+    }
+}
+
+/// When the client sends the request that follows a response.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum NextRequest {
+    /// Before the response is complete.
+    Pipelined,
+    /// As soon as the response is complete.
+    AtOnce,
+}
+
+/// Receives a request at a server, and answers it.
+async fn serve_next(proxy: &TestProxy, id: &str) {
+    let (mut server, request, _) = proxy.receive_any(&PLAIN_SERVERS).await;
+    assert_eq!(request.header("request-id"), Some(id));
+    server.send(&closing(&ok_response(id, id))).await;
+}
+
+/// Guards against a close that no response has announced: the head of a response was written before a
+/// shutdown began, and the connection was closed when the response ended, with the next request unanswered.
+#[rstest]
+#[tokio::test]
+async fn request_behind_a_response_that_announced_no_close_is_answered(
+    #[values(PiecewiseResponse::EventStream, PiecewiseResponse::ChunkedBody, PiecewiseResponse::LongBody)]
+    response: PiecewiseResponse,
+    #[values(NextRequest::Pipelined, NextRequest::AtOnce)] next: NextRequest,
+) {
+    with_proxy_until_shutdown(Scenario::new("streaming"), async |proxy| {
+        let (mut client, mut server, _) = proxy.dispatch("r1", "").await;
+        let (first, rest) = response.parts("r1");
+        server.send(&first).await;
+        let head = client.read_head().await.expect("the head of the response is received");
+        assert!(!head.to_lowercase().contains("connection: close"), "{head}");
+        proxy.begin_shutdown();
+        assert_eq!(proxy.readiness_status().await, 503);
+        if next == NextRequest::Pipelined {
+            client.send(&request("r2", "", "body")).await;
+            proxy.wait_until_received().await;
+        }
+        server.send(&rest).await;
+        response.read_body(&mut client).await;
+        if next == NextRequest::AtOnce {
+            client.send(&request("r2", "", "body")).await;
+        }
+        tokio::join!(serve_next(proxy, "r2"), async {
+            let response = client.read_response().await;
+            assert_eq!((response.body.as_str(), response.header("connection")), ("r2", Some("close")));
+        });
+        assert!(client.is_closed().await);
+        tokio::time::pause();
+    })
+    .await;
+}
