Answer the requests that were read before a shutdown closes their connection

Callers saw: a client had sent further requests behind one in progress when SIGTERM came. The response to the first announced the close, and the others, read whole long before, were discarded without an answer (LOST).

Cause: every head that is written during a shutdown announced the close, whatever had been read ahead.

Evidence: with stand-ins, four requests in one connection, one at a server and three behind it, then a shutdown: on the first response has Connection: close, and the other three get none.

The close is now announced by the last response for which no further request has arrived. So that a client that always has one under way can't hold its connection, nothing is read ahead once the process accepts no more connections. The same holds for a connection that was asked to close to make room for another one.

--- a/crates/proxy/src/inbound/connection.rs
+++ b/crates/proxy/src/inbound/connection.rs
@@ -28,7 +28,7 @@
 /// Serves a connection until it closes.
 pub async fn serve(state: &Rc<ProxyState>, mut stream: TcpStream, slot: &ConnectionSlot) {
     let (read, mut write) = stream.split();
-    let mut reader = RequestReader::new(read, state);
+    let mut reader = RequestReader::new(read, state, slot);
     loop {
         slot.idle_since.set(Some(Instant::now()));
         // Boxed, so that a connection between requests does not hold the large future of a request.
@@ -41,7 +41,7 @@
             Err(ReadFailure::Rejected(error)) => {
                 state.metrics.record_request(RequestOutcome::Rejected(error));
                 spdlog::debug!("request outcome={}", error.name());
-                ResponseWriter::closing(&mut write, state).write_error(error).await;
+                ResponseWriter::closing(&mut write, state, slot).write_error(error).await;
                 return linger(reader.into_read_half(), &mut write).await;
             }
         }
@@ -52,12 +52,13 @@
 async fn serve_request(
     state: &Rc<ProxyState>, reader: &mut RequestReader<'_>, write: &mut WriteHalf<'_>, slot: &ConnectionSlot,
 ) -> Result<ResponseEnd, ReadFailure> {
-    let arrival = reader.wait_for_request(slot).await?;
+    let arrival = reader.wait_for_request().await?;
     slot.idle_since.set(None);
     let head = reader.read_head(&arrival.limits).await?;
     let deadline = service::route_timeout(state, &head).map(|timeout| arrival.at + timeout);
     let mut reservation = BodyReservation::new(state);
     let body = reader.read_body(write, &head, &arrival.limits, deadline, &mut reservation).await?;
+    reader.record_read_ahead();
     let has_body = body.is_some();
     let request = ClientRequest { head, body: body.unwrap_or_default(), has_body, arrived: arrival.at };
     let trace = RequestTrace::default();
@@ -68,10 +69,7 @@
         trace.finish(state, &request, RequestOutcome::ClientDisconnected);
         return Err(ReadFailure::Disconnected);
     }
-    let mut writer = ResponseWriter::new(write, state, &request.head, &trace);
-    if slot.is_close_requested() {
-        writer.announce_close();
-    }
+    let mut writer = ResponseWriter::new(write, state, slot, &request.head, &trace);
     tokio::select! {
         biased;
         end = service::serve(state, &request, &mut writer, &trace) => {
--- a/crates/proxy/src/inbound/connections.rs
+++ b/crates/proxy/src/inbound/connections.rs
@@ -25,6 +25,8 @@
     /// its response announces the close.
     is_close_requested: Cell<bool>,
     close_requested: Notify,
+    /// Whether bytes of a further request have been received while one is in progress.
+    pub has_read_ahead: Cell<bool>,
 }
 
 impl ConnectionSlot {
--- a/crates/proxy/src/inbound/request_reader.rs
+++ b/crates/proxy/src/inbound/request_reader.rs
@@ -56,6 +56,7 @@
 pub struct RequestReader<'a> {
     read: ReadHalf<'a>,
     state: &'a ProxyState,
+    slot: &'a ConnectionSlot,
     buffer: BytesMut,
     /// The arrival of the first bytes after the request in progress. They belong to the next request.
     read_ahead: Option<Arrival>,
@@ -63,8 +64,8 @@
 
 impl<'a> RequestReader<'a> {
     /// Creates a reader for one connection.
-    pub fn new(read: ReadHalf<'a>, state: &'a ProxyState) -> RequestReader<'a> {
-        RequestReader { read, state, buffer: BytesMut::new(), read_ahead: None }
+    pub fn new(read: ReadHalf<'a>, state: &'a ProxyState, slot: &'a ConnectionSlot) -> RequestReader<'a> {
+        RequestReader { read, state, slot, buffer: BytesMut::new(), read_ahead: None }
     }
 
     /// Returns the reading side of the connection. Bytes that were read ahead are dropped.
@@ -73,25 +74,26 @@
     }
 
     /// Waits for the first bytes of a request.
-    pub async fn wait_for_request(&mut self, slot: &ConnectionSlot) -> Result<Arrival, ReadFailure> {
+    pub async fn wait_for_request(&mut self) -> Result<Arrival, ReadFailure> {
         if self.buffer.is_empty() {
             // Frees the buffer while the connection is idle.
             self.buffer = BytesMut::new();
-            self.wait_for_bytes(slot).await?;
+            self.wait_for_bytes().await?;
         }
+        self.slot.has_read_ahead.set(false);
         Ok(self.read_ahead.take().unwrap_or_else(|| Arrival::now(self.state)))
     }
 
     /// Waits for the first bytes of a request, until the idle timeout or a request to close. The idle timeout
     /// follows the configuration while the connection waits.
-    async fn wait_for_bytes(&mut self, slot: &ConnectionSlot) -> Result<(), ReadFailure> {
+    async fn wait_for_bytes(&mut self) -> Result<(), ReadFailure> {
         let mut limits = self.state.watch_limits();
         let mut deadline = IdleDeadline::new(Instant::now(), &limits.borrow_and_update());
         loop {
             tokio::select! {
                 biased;
                 filled = http::fill_lazily(&mut self.read, &mut self.buffer) => return check_received(filled),
-                () = slot.wait_for_close_request() => return self.close_unless_readable(),
+                () = self.slot.wait_for_close_request() => return self.close_unless_readable(),
                 () = sleep_until(deadline.at()) => return self.close_unless_readable(),
                 Ok(()) = limits.changed() => {
                     deadline.set_limits(&limits.borrow_and_update(), Instant::now());
@@ -211,14 +213,23 @@
         http::is_closed_by_peer(self.read.as_ref())
     }
 
+    /// Records whether bytes of a further request have been received.
+    pub fn record_read_ahead(&mut self) {
+        if !self.buffer.is_empty() {
+            self.slot.has_read_ahead.set(true);
+            self.read_ahead.get_or_insert_with(|| Arrival::now(self.state));
+        }
+    }
+
     /// Waits until the client disconnects. Bytes that it sends in the meantime are kept for the next request,
     /// up to 8 KiB.
+    ///
+    /// Nothing is read ahead once the process has stopped accepting connections, so that a client that always
+    /// has a further request under way does not keep its connection until the process is killed.
     pub async fn wait_for_disconnect(&mut self) {
         loop {
-            if !self.buffer.is_empty() {
-                self.read_ahead.get_or_insert_with(|| Arrival::now(self.state));
-            }
-            if self.buffer.len() >= MAX_READ_AHEAD_BYTES {
+            self.record_read_ahead();
+            if self.buffer.len() >= MAX_READ_AHEAD_BYTES || self.state.is_admission_stopped() {
                 return self.wait_for_close_without_reading().await;
             }
             match http::fill(&mut self.read, &mut self.buffer).await {
--- a/crates/proxy/src/inbound/response_writer.rs
+++ b/crates/proxy/src/inbound/response_writer.rs
@@ -1,9 +1,10 @@
 //! The writing side of a client connection.
 
 use crate::http::{
-    RequestHead, ResponseHead, append_chunk, append_content_length, append_field, append_last_chunk,
+    self, RequestHead, ResponseHead, append_chunk, append_content_length, append_field, append_last_chunk,
     append_number, is_hop_by_hop,
 };
+use crate::inbound::connections::ConnectionSlot;
 use crate::inbound::error_response::RequestError;
 use crate::state::ProxyState;
 use crate::telemetry::request_trace::RequestTrace;
@@ -47,6 +48,7 @@
 pub struct ResponseWriter<'a, 'b> {
     write: &'a mut WriteHalf<'b>,
     state: &'a ProxyState,
+    slot: &'a ConnectionSlot,
     /// Whether the connection must close after the response, whatever the state of the process.
     wants_close: bool,
     /// Whether the head that was written announced that the connection closes after the response.
@@ -67,23 +69,25 @@
 impl<'a, 'b> ResponseWriter<'a, 'b> {
     /// Creates a writer for the response to one request.
     pub fn new(
-        write: &'a mut WriteHalf<'b>, state: &'a ProxyState, head: &'a RequestHead, trace: &'a RequestTrace,
+        write: &'a mut WriteHalf<'b>, state: &'a ProxyState, slot: &'a ConnectionSlot, head: &'a RequestHead,
+        trace: &'a RequestTrace,
     ) -> Self {
         ResponseWriter {
             wants_close: head.wants_close(),
             is_http10: head.is_http10,
             request_id: head.headers.get("request-id"),
             trace: Some(trace),
-            ..ResponseWriter::closing(write, state)
+            ..ResponseWriter::closing(write, state, slot)
         }
     }
 
     /// Creates a writer for the response to bytes that are not a valid request. The connection closes after
     /// it.
-    pub fn closing(write: &'a mut WriteHalf<'b>, state: &'a ProxyState) -> Self {
+    pub fn closing(write: &'a mut WriteHalf<'b>, state: &'a ProxyState, slot: &'a ConnectionSlot) -> Self {
         ResponseWriter {
             write,
             state,
+            slot,
             wants_close: true,
             has_announced_close: false,
             is_http10: false,
@@ -95,11 +99,6 @@
         }
     }
 
-    /// Makes the response announce that the connection closes after it.
-    pub fn announce_close(&mut self) {
-        self.wants_close = true;
-    }
-
     /// Records that a head is written, and checks that it is the only one for this request.
     fn record_head(&mut self, status: u16) {
         if let Some(trace) = self.trace {
@@ -117,17 +116,27 @@
         String::from_utf8_lossy(self.request_id.unwrap_or(b"-")).into_owned()
     }
 
-    /// Decides whether the connection closes after the response: because the client wants it, because the
-    /// connection was asked to close, or because the process is draining.
+    /// Decides whether the connection closes after the response: because the client wants it, or because the
+    /// connection was asked to close or the process is draining, and no further request has arrived.
     ///
     /// Called once for each response, for its head. A client may send its next request behind a response that
     /// announces no close, so the connection then stays open even if a shutdown begins before the response
     /// ends.
     fn decide_close(&mut self) -> bool {
-        self.has_announced_close = self.wants_close || self.state.is_draining();
+        let should_close = self.state.is_draining() || self.slot.is_close_requested();
+        self.has_announced_close = self.wants_close || should_close && !self.has_next_request();
         self.has_announced_close
     }
 
+    /// Returns whether a further request has arrived, at least in part, which has to be answered before the
+    /// connection closes. Once the process has stopped accepting connections, only requests count that have
+    /// been read.
+    fn has_next_request(&self) -> bool {
+        let has_arrived =
+            || !self.state.is_admission_stopped() && !http::has_nothing_to_read(self.write.as_ref());
+        self.slot.has_read_ahead.get() || has_arrived()
+    }
+
     /// Returns how a response ended whose last bytes were written with this result.
     fn response_end(&self, written: io::Result<()>) -> ResponseEnd {
         match written {
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -121,9 +121,14 @@
         self.is_admission_stopped.set(true);
     }
 
+    /// Returns whether client connections are no longer admitted.
+    pub fn is_admission_stopped(&self) -> bool {
+        self.is_admission_stopped.get()
+    }
+
     /// Records the admission of a client connection, and checks that admission has not been stopped.
     pub fn record_admission(&self) {
-        check(Invariant::NothingNewAfterDrain, !self.is_admission_stopped.get(), || {
+        check(Invariant::NothingNewAfterDrain, !self.is_admission_stopped(), || {
             "a client connection was admitted after admission had stopped".to_owned()
         });
     }
--- a/crates/proxy/tests/connection_close.rs
+++ b/crates/proxy/tests/connection_close.rs
@@ -4,7 +4,10 @@
 mod support;
 
 use rstest::rstest;
+use std::time::Duration;
+use support::clock::advance_clock;
 use support::*;
+use tokio::time::Instant;
 
 /// A response whose head is written before its body is complete.
 #[derive(Clone, Copy, Debug)]
@@ -101,3 +104,62 @@
     })
     .await;
 }
+/// Guards against an announced close that leaves requests unanswered that were received before it: the close
+/// is announced by the last of their responses.
+#[tokio::test]
+async fn shutdown_answers_pipelined_requests_before_it_closes_the_connection() {
+    with_proxy_until_shutdown(Scenario::new("unsafe"), async |proxy| {
+        let (mut client, mut server, _) = proxy.dispatch("r1", "").await;
+        client.send(&request("r2", "", "body")).await;
+        client.send(&unrouted_request("GET", "", "")).await;
+        client.send(&request("r3", "", "body")).await;
+        proxy.wait_until_received().await;
+        proxy.begin_shutdown();
+        assert_eq!(proxy.readiness_status().await, 503);
+        server.send(&closing(&ok_response("r1", "r1"))).await;
+        let servers = async {
+            serve_next(proxy, "r2").await;
+            serve_next(proxy, "r3").await;
+        };
+        tokio::join!(servers, async {
+            for (status, body, connection) in
+                [(200, "r1", None), (200, "r2", None), (404, "", None), (200, "r3", Some("close"))]
+            {
+                let response = client.read_response().await;
+                let received = (response.status(), response.body.as_str(), response.header("connection"));
+                assert_eq!(received, (status, body, connection));
+            }
+        });
+        assert!(client.is_closed().await);
+        tokio::time::pause();
+    })
+    .await;
+}
+
+/// Guards against a shutdown that a client prolongs which always has a further request under way: once no more
+/// connections are accepted, nothing more is read ahead, and the connection closes.
+#[tokio::test]
+async fn shutdown_closes_the_connection_of_a_client_that_always_pipelines() {
+    with_proxy_until_shutdown(Scenario::new("unsafe"), async |proxy| {
+        let (mut client, mut server, _) = proxy.dispatch("r1", "").await;
+        let begun_at = Instant::now();
+        proxy.begin_shutdown();
+        assert_eq!(proxy.readiness_status().await, 503);
+        for number in 1.. {
+            client.send(&request(&format!("r{}", number + 1), "", "body")).await;
+            advance_clock(Duration::from_millis(500)).await;
+            let id = format!("r{number}");
+            server.send(&closing(&ok_response(&id, &id))).await;
+            let response = client.read_response().await;
+            assert_eq!(response.body, id);
+            if response.header("connection") == Some("close") {
+                break;
+            }
+            server = proxy.receive_any(&PLAIN_SERVERS).await.0;
+        }
+        let elapsed = begun_at.elapsed();
+        assert!(elapsed > Duration::from_secs(2) && elapsed < Duration::from_secs(4), "{elapsed:?}");
+        tokio::time::pause();
+    })
+    .await;
+}
