Answer the requests that are still in progress when a shutdown has to end

Cause: drain returned and the process ended, which dropped the tasks of all connections.

Evidence: two of the tests here fail on the code before: no answer, and a FIN in place of a reset.

100 ms before its end the shutdown now aborts what is in progress: a request without a response gets 504, since a server may have executed it, those behind it 503, since none will, and a response that has been started stays visibly incomplete. The end of the shutdown itself is unchanged.

Test replaced: shutdown_aborts_remaining_requests_before_the_grace_period_ends wanted the truncated response that is the fault here. Its successor checks the same bounds of time, that the server's connection closes, and both answers.

--- a/crates/proxy/src/inbound/connection.rs
+++ b/crates/proxy/src/inbound/connection.rs
@@ -3,6 +3,7 @@
 use crate::http::{self, Fill};
 use crate::inbound::body_reservation::BodyReservation;
 use crate::inbound::connections::ConnectionSlot;
+use crate::inbound::error_response::RequestError;
 use crate::inbound::request::ClientRequest;
 use crate::inbound::request_reader::{ReadFailure, RequestReader};
 use crate::inbound::response_writer::{ResponseEnd, ResponseWriter};
@@ -48,7 +49,8 @@
     }
 }
 
-/// Reads one request and serves it. The request is cancelled if its client disconnects.
+/// Reads one request and serves it. The request is cancelled if its client disconnects, and is answered with
+/// an error if it is still in progress when the process has to end.
 async fn serve_request(
     state: &Rc<ProxyState>, reader: &mut RequestReader<'_>, write: &mut WriteHalf<'_>, slot: &ConnectionSlot,
 ) -> Result<ResponseEnd, ReadFailure> {
@@ -70,19 +72,36 @@
         return Err(ReadFailure::Disconnected);
     }
     let mut writer = ResponseWriter::new(write, state, slot, &request.head, &trace);
-    tokio::select! {
+    let end = tokio::select! {
         biased;
-        end = service::serve(state, &request, &mut writer, &trace) => {
-            if end == ResponseEnd::Incomplete && request.head.is_http10 {
-                reader.reset_on_close();
-            }
-            Ok(end)
-        }
+        end = service::serve(state, &request, &mut writer, &trace) => end,
         () = reader.wait_for_disconnect() => {
             trace.finish(state, &request, RequestOutcome::ClientDisconnected);
-            Err(ReadFailure::Disconnected)
+            return Err(ReadFailure::Disconnected);
+        }
+        () = slot.wait_for_abort_request() => {
+            abort(state, &request, &mut writer, &trace).await
         }
+    };
+    if end == ResponseEnd::Incomplete && request.head.is_http10 {
+        reader.reset_on_close();
     }
+    Ok(end)
+}
+
+/// Answers a request that is still in progress when the process has to end. A server may have executed it. A
+/// response that has been started stays incomplete.
+async fn abort(
+    state: &ProxyState, request: &ClientRequest, writer: &mut ResponseWriter<'_, '_>, trace: &RequestTrace,
+) -> ResponseEnd {
+    let error = RequestError::DeadlineExceeded;
+    let end = writer.write_error(error).await;
+    let outcome = match end {
+        ResponseEnd::Incomplete => RequestOutcome::Interrupted,
+        ResponseEnd::Complete | ResponseEnd::CompleteAndClose => RequestOutcome::Rejected(error),
+    };
+    trace.finish(state, request, outcome);
+    end
 }
 
 /// Closes the connection after its last response: shuts down the writing side, and discards what the client
--- a/crates/proxy/src/inbound/connections.rs
+++ b/crates/proxy/src/inbound/connections.rs
@@ -25,6 +25,7 @@
     /// its response announces the close.
     is_close_requested: Cell<bool>,
     close_requested: Notify,
+    abort_requested: Notify,
     /// Whether bytes of a further request have been received while one is in progress.
     pub has_read_ahead: Cell<bool>,
 }
@@ -45,6 +46,11 @@
     pub async fn wait_for_close_request(&self) {
         self.close_requested.notified().await;
     }
+
+    /// Waits until the request in progress is to be aborted.
+    pub async fn wait_for_abort_request(&self) {
+        self.abort_requested.notified().await;
+    }
 }
 
 /// All open client connections.
@@ -80,6 +86,11 @@
         slots.values().filter(is_idle).for_each(|slot| slot.request_close());
     }
 
+    /// Asks all connections to abort the request in progress.
+    pub fn abort_requests(&self) {
+        self.slots.borrow().values().for_each(|slot| slot.abort_requested.notify_one());
+    }
+
     /// Waits until a connection closes.
     pub async fn wait_for_close(&self) {
         self.closed.notified().await;
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -1,6 +1,7 @@
 //! Graceful shutdown in four steps: the process fails its readiness checks; it continues to accept
 //! connections until the platform has detected that; it stops accepting; requests in progress complete. The
-//! last step ends before the platform kills the process, even if requests are still in progress.
+//! last step ends before the platform kills the process: requests that are still in progress then are answered
+//! with an error, unless their response has been started.
 
 use crate::inbound::connections::ClientConnections;
 use crate::inbound::listener::{admit_accepted, listen};
@@ -15,6 +16,8 @@
 const PLATFORM_DETECTION_TIME: Duration = Duration::from_millis(2_300);
 /// The shutdown ends this long before the platform would kill the process.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
+/// Requests in progress are aborted this long before the shutdown ends, so that clients receive the responses.
+const ABORT_RESPONSE_TIME: Duration = Duration::from_millis(100);
 /// Only connections that have been idle for this long are closed: a client that has just connected, or has
 /// just received a response, may already have sent its next request.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(250);
@@ -34,16 +37,25 @@
     let _ = timeout_at(accept_until, listen(state, connections, &listener)).await;
     admit_accepted(state, connections, listener);
     state.stop_admission();
-    connections.close_idle(MIN_IDLE_TIME);
-    while connections.count() > 0 && Instant::now() < shutdown_deadline {
-        let next_check = (Instant::now() + IDLE_CHECK_INTERVAL).min(shutdown_deadline);
-        // The result is ignored: the loop continues in the same way after a close and after the interval.
-        let _ = timeout_at(next_check, connections.wait_for_close()).await;
-        connections.close_idle(MIN_IDLE_TIME);
-    }
+    close_connections(connections, shutdown_deadline - ABORT_RESPONSE_TIME).await;
+    state.stop_service();
+    connections.abort_requests();
+    close_connections(connections, shutdown_deadline).await;
     let elapsed_ms = started.elapsed().as_millis();
     spdlog::info!(
         "shutdown outcome=completed open_connections={} elapsed_ms={elapsed_ms}",
         connections.count()
     );
 }
+
+/// Closes connections when they have been idle for [`MIN_IDLE_TIME`]. Returns once none is open, at the latest
+/// at `deadline`.
+async fn close_connections(connections: &Rc<ClientConnections>, deadline: Instant) {
+    connections.close_idle(MIN_IDLE_TIME);
+    while connections.count() > 0 && Instant::now() < deadline {
+        let next_check = (Instant::now() + IDLE_CHECK_INTERVAL).min(deadline);
+        // The result is ignored: the loop continues in the same way after a close and after the interval.
+        let _ = timeout_at(next_check, connections.wait_for_close()).await;
+        connections.close_idle(MIN_IDLE_TIME);
+    }
+}
--- a/crates/proxy/src/stack/service.rs
+++ b/crates/proxy/src/stack/service.rs
@@ -56,6 +56,9 @@
     trace: &RequestTrace,
 ) -> Result<ResponseEnd, RequestError> {
     let routes = state.routes().ok_or(RequestError::NotReady)?;
+    if state.is_service_stopped() {
+        return Err(RequestError::Unavailable);
+    }
     let mut execution = RequestExecution::new(state, request, &routes, trace)?;
     if execution.time_left().is_zero() {
         return Err(RequestError::DeadlineBeforeExecution);
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -43,6 +43,8 @@
     is_draining: Cell<bool>,
     /// Whether client connections are no longer admitted.
     is_admission_stopped: Cell<bool>,
+    /// Whether no further request is forwarded.
+    is_service_stopped: Cell<bool>,
     max_body_bytes: u64,
     started: Instant,
     rng: RefCell<fastrand::Rng>,
@@ -71,6 +73,7 @@
             unreadable_version: Cell::new(0),
             is_draining: Cell::new(false),
             is_admission_stopped: Cell::new(false),
+            is_service_stopped: Cell::new(false),
             started: Instant::now(),
             // A separate generator, so that the balancer's random draws do not depend on how often other code
             // draws.
@@ -121,6 +124,16 @@
         self.is_admission_stopped.set(true);
     }
 
+    /// Records that no further request may be forwarded, since the process is about to end.
+    pub fn stop_service(&self) {
+        self.is_service_stopped.set(true);
+    }
+
+    /// Returns whether no further request may be forwarded.
+    pub fn is_service_stopped(&self) -> bool {
+        self.is_service_stopped.get()
+    }
+
     /// Returns whether client connections are no longer admitted.
     pub fn is_admission_stopped(&self) -> bool {
         self.is_admission_stopped.get()
--- a/crates/proxy/tests/graceful_shutdown.rs
+++ b/crates/proxy/tests/graceful_shutdown.rs
@@ -4,8 +4,10 @@
 mod support;
 
 use lugwharf_config::Limits;
+use rstest::rstest;
 use std::time::Duration;
 use support::*;
+use tokio::io::AsyncReadExt;
 use tokio::time::Instant;
 
 #[tokio::test]
@@ -73,19 +75,51 @@
     assert!(elapsed < Duration::from_secs(4), "{elapsed:?}");
 }
 
+/// Guards against a request that is cut off without an answer when the grace period ends, and against one
+/// that was read behind it. The first may have been executed, the second never will be.
 #[tokio::test]
-async fn shutdown_aborts_remaining_requests_before_the_grace_period_ends() {
+async fn shutdown_answers_remaining_requests_before_the_grace_period_ends() {
     let scenario = Scenario::new("unsafe").route(Route::new("unsafe").timeout_ms(60_000));
     let mut begun_at = Instant::now();
     with_proxy_until_shutdown(scenario, async |proxy| {
         let (mut client, mut server, _) = proxy.dispatch("r1", "").await;
+        client.send(&request("r2", "", "body")).await;
+        proxy.wait_until_received().await;
         tokio::time::pause();
         begun_at = Instant::now();
         proxy.begin_shutdown();
-        assert!(client.read_message().await.is_none(), "the response is truncated");
+        for (status, connection) in [(504, None), (503, Some("close"))] {
+            let response = client.read_response().await;
+            assert_eq!((response.status(), response.header("connection")), (status, connection));
+        }
         assert!(server.is_closed().await);
     })
     .await;
     let elapsed = begun_at.elapsed();
     assert!(elapsed >= Duration::from_secs(7) && elapsed < Duration::from_secs(8), "{elapsed:?}");
 }
+
+/// Guards against a stream that looks complete although it was cut off when the grace period ended: the close
+/// of the connection ends the stream of an HTTP/1.0 client.
+#[rstest]
+#[case::http11("HTTP/1.1")]
+#[case::http10("HTTP/1.0")]
+#[tokio::test]
+async fn stream_that_outlasts_the_grace_period_is_visibly_incomplete(#[case] version: &str) {
+    let scenario = Scenario::new("streaming").route(Route::new("streaming").timeout_ms(60_000));
+    with_proxy_until_shutdown(scenario, async |proxy| {
+        let mut client = proxy.connect().await;
+        client.send(&request("r1", "", "body").replace("HTTP/1.1", version)).await;
+        let (mut server, _, _) = proxy.receive_any(&PLAIN_SERVERS).await;
+        server.start_stream("r1", 1).await;
+        assert!(client.read_until("id: 1").await.is_some());
+        tokio::time::pause();
+        proxy.begin_shutdown();
+        let mut rest = Vec::new();
+        let ended = client.stream.read_to_end(&mut rest).await;
+        let is_reset = ended.is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionReset);
+        assert_eq!(is_reset, version == "HTTP/1.0");
+        assert!(!String::from_utf8_lossy(&rest).contains(LAST_CHUNK));
+    })
+    .await;
+}
