Sidecar: keep a connection open behind an answer that announced no close

Callers saw: a request that was sent behind a large answer, while the sidecar shut down, was read and never answered.

The head of the answer had been written before the shutdown; a close that was requested while the rest was written disabled keep-alive in the HTTP library, which closed behind the answer unannounced.

Evidence: the test with a client that reads slowly fails before ("no request was passed to the driver").

A request to close has no effect now while an answer is written.

--- a/src/bin/lugwharf-sidecar/server/server_tests.rs
+++ b/src/bin/lugwharf-sidecar/server/server_tests.rs
@@ -133,12 +133,11 @@
     assert_eq!(read_to_end(client).await.matches("200 OK").count(), 2);
 }
 
-#[tokio::test(start_paused = true)]
-async fn a_slow_reader_gets_its_complete_answer_despite_close_requests() {
+/// Starts to write an answer that fits into neither the send buffer nor the receive buffer of its client.
+async fn start_writing_answer() -> (TestServer, BlockingTcpStream) {
     let mut test_server = start_server(60_000, Some(4_096)).await;
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
     let socket = socket.expect("cannot create a socket");
-    // The answer fits into neither the send buffer nor the receive buffer.
     socket.set_recv_buffer_size(4_096).expect("cannot set the receive buffer of the socket");
     socket.connect(&test_server.addr.into()).expect("cannot connect to the server");
     let mut client = BlockingTcpStream::from(socket);
@@ -146,6 +145,30 @@
     let (_, _, answer) = test_server.request().await;
     assert!(answer.send(served(MAX_BODY_BYTES)).is_ok());
     test_server.wait_for(ClientPhase::WritingAnswer).await;
+    (test_server, client)
+}
+
+/// Guards against a close that no answer has announced: the head of an answer was written before a shutdown
+/// began, and the connection was closed behind the answer, with the next request unanswered.
+#[tokio::test(start_paused = true)]
+async fn a_request_behind_an_answer_that_announced_no_close_is_served() {
+    let (mut test_server, mut client) = start_writing_answer().await;
+    let server = test_server.server.clone();
+    let shutdown = tokio::spawn(async move { server.shut_down().await });
+    yield_now().await;
+    client.write_all(request_text("next", "", 0).as_bytes()).expect("cannot write to the connection");
+    let (answers, ()) = tokio::join!(read_to_end(client), async {
+        let (_, _, answer) = test_server.request().await;
+        assert!(answer.send(served(3)).is_ok());
+    });
+    assert_eq!(answers.matches("200 OK").count(), 2);
+    assert_eq!(answers.matches("connection: close").count(), 1, "the last answer announces the close");
+    shutdown.await.expect("the shutdown task panicked");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slow_reader_gets_its_complete_answer_despite_close_requests() {
+    let (test_server, client) = start_writing_answer().await;
     let shutdown = tokio::spawn({
         let server = test_server.server.clone();
         async move { server.shut_down().await }
--- a/src/bin/lugwharf-sidecar/server/service.rs
+++ b/src/bin/lugwharf-sidecar/server/service.rs
@@ -73,9 +73,9 @@
                     _ if client.may_close() => return,
                     // The client does not read its answer.
                     (ClientPhase::WritingAnswer, age) if age >= self.max_unread_time() => return,
-                    (ClientPhase::WritingAnswer, _) => connection.as_mut().graceful_shutdown(),
                     // A request that is being read is served, and its response says that the connection
-                    // closes after it.
+                    // closes after it. Behind a response that did not say so, the client may send its next
+                    // request: the connection closes once it has been idle.
                     _ => {}
                 }
             }
