Control: answer the operator's requests in progress before the process ends

Callers saw: an operator's change that had been read whole was cut off without an answer when its control process ended on SIGTERM: acknowledged by the chain, perhaps, and unknown to the operator.

Cause: run returned 50 ms after the shutdown sequence, and the runtime dropped the tasks of the API's connections. A change may take 930 ms.

The HTTP server of the API is now shut down last: it accepts no more, closes idle connections, and waits for the requests in progress, 1 s at most and within GraceS. Their responses announce the close. The controller decides them meanwhile. The redirects of machines without a replica end in the same way (by reading, no test of its own).

Both servers were configured by a function of operator.rs; that has become the module http_server.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -4,6 +4,7 @@
 //! control process that the agent of this machine follows, which has replied within the last second and has a
 //! quorum. If the agent follows none, the operator receives 503 and retries.
 
+use crate::http_server::HttpServer;
 use crate::operator::{self, MAX_CONFIG_BYTES};
 use crate::operator_error::{ErrorKind, OperatorError};
 use std::net::SocketAddr;
@@ -19,15 +20,17 @@
 /// a long body may take too long over a slow link.
 const BODY_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Serves redirects until the process ends. `target` is the operator API of the followed control process, if
+/// The maximum time to complete a redirect once its request has been received.
+pub const MAX_REDIRECT_TIME: Duration = BODY_TIMEOUT.saturating_add(Duration::from_millis(100));
+
+/// Serves redirects until the returned server is shut down. `target` is the operator API of the followed control process, if
 /// any.
-pub fn serve(listener: TcpListener, target: watch::Receiver<Option<SocketAddr>>) {
-    let config = operator::http_server_config(listener, MAX_CONFIG_BYTES);
+pub fn serve(listener: TcpListener, target: watch::Receiver<Option<SocketAddr>>) -> HttpServer {
     let handler = move |conn: Conn| {
         let target = *target.borrow();
         async move { redirect(conn, target).await }
     };
-    tokio::spawn(config.run_async(handler));
+    HttpServer::start(listener, MAX_CONFIG_BYTES, handler)
 }
 
 async fn redirect(mut conn: Conn, target: Option<SocketAddr>) -> Conn {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `peer_transport` | connections between control processes |
 //! | `agent_server` | connections from agents |
 //! | `operator` | the operator API over HTTP; `gateway` redirects it on machines without a replica |
+//! | `http_server` | the HTTP server of both, and its graceful shutdown |
 //! | `list_watcher` | reads the platform's server list through `platform_client`, under the lease |
 //! | `orders` | sends orders to model servers, under the lease |
 //! | `server_reports` | requests stage reports from model servers, under the lease |
@@ -31,6 +32,7 @@
 mod gateway_tests;
 #[cfg(test)]
 mod http_bytes_tests;
+mod http_server;
 mod lease;
 mod leased_call;
 mod list_watcher;
@@ -65,6 +67,7 @@
 use command::{Command, send_command};
 use controller::Controller;
 use eyre::{Result, WrapErr, eyre};
+pub use http_server::HttpServer;
 use lugwharf_settings::{Settings, SettingsError, SettingsFollower};
 use lugwharf_stages::StageTuning;
 use lugwharf_telemetry::MetricsEndpoint;
@@ -119,7 +122,7 @@
     let mut controller = tokio::spawn(controller.run(queue));
     tokio::spawn(peer_transport::accept(peer_listener, commands.clone()));
     tokio::spawn(agent_server::accept(agent_listener, commands.clone()));
-    operator::serve(operator_listener, commands.clone(), rejections);
+    let operator_api = operator::serve(operator_listener, commands.clone(), rejections);
     tokio::spawn(tick(commands.clone()));
     tokio::spawn(announcement::run(settings.bind, commands.clone()));
     let endpoint = MetricsEndpoint::listen_if_enabled(settings.listen_ip(), options.metrics_port).await;
@@ -133,7 +136,13 @@
             ended = &mut controller => return Err(eyre!("the controller task ended unexpectedly: {ended:?}")),
         }
     }
+    let started_at = Instant::now();
     shut_down(&commands, grace).await;
+    // The controller still decides the operator's requests in progress, while nothing else waits for it.
+    let remaining = grace.saturating_sub(started_at.elapsed());
+    if !operator_api.shut_down(operator::MAX_RESPONSE_TIME.min(remaining)).await {
+        warn!("operator_api", kv: { outcome = "cut_off" });
+    }
     Ok(())
 }
 
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -8,25 +8,25 @@
 mod response;
 
 use crate::command::Command;
+use crate::http_server::HttpServer;
 use crate::metrics::{self, RejectionCounters};
 use crate::operator_error::{ErrorKind, OperatorError};
 use config_change::ConfigChanges;
 use controller_client::{ControllerClient, RESPONSE_TIMEOUT};
 use response::Response;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use trillium::{Conn, Method};
-use trillium_http::HttpConfig;
 
 #[cfg(test)]
 pub use config_change::MAX_CONCURRENT_BODIES;
 pub use config_change::MAX_CONFIG_BYTES;
 pub use response::send_error;
 
-/// The maximum number of open connections. The operator has up to eight requests in flight; readiness checks
-/// use connections as well.
-const MAX_CONNECTIONS: usize = 256;
+/// The maximum time to complete a response once its request has been received.
+pub const MAX_RESPONSE_TIME: Duration = RESPONSE_TIMEOUT.saturating_add(Duration::from_millis(70));
 
 /// The shared state of all request handlers.
 #[derive(Clone)]
@@ -36,9 +36,10 @@
     rejections: RejectionCounters,
 }
 
-/// Serves the API until the process ends.
-pub fn serve(listener: TcpListener, commands: mpsc::Sender<Command>, rejections: RejectionCounters) {
-    let config = http_server_config(listener, MAX_CONFIG_BYTES);
+/// Serves the API until the returned server is shut down.
+pub fn serve(
+    listener: TcpListener, commands: mpsc::Sender<Command>, rejections: RejectionCounters,
+) -> HttpServer {
     let controller = ControllerClient::new(commands);
     let changes = ConfigChanges::new(controller.clone());
     let api = Api { controller, changes, rejections };
@@ -46,20 +47,7 @@
         let api = api.clone();
         async move { handle(conn, api).await }
     };
-    tokio::spawn(config.run_async(handler));
-}
-
-/// Configures an HTTP server on this listener that accepts bodies of at most `max_body_bytes`.
-pub fn http_server_config(
-    listener: TcpListener, max_body_bytes: u64,
-) -> trillium_server_common::Config<impl trillium_server_common::Server, ()> {
-    let http = HttpConfig::default().with_received_body_max_len(max_body_bytes);
-    trillium_tokio::config()
-        .without_signals()
-        .with_nodelay()
-        .with_max_connections(Some(MAX_CONNECTIONS))
-        .with_http_config(http)
-        .with_prebound_server(listener)
+    HttpServer::start(listener, MAX_CONFIG_BYTES, handler)
 }
 
 async fn handle(mut conn: Conn, api: Api) -> Conn {
--- a/crates/control/src/operator_tests.rs
+++ b/crates/control/src/operator_tests.rs
@@ -118,6 +118,25 @@
     format!("{{\"Version\":{version},\"Routes\":[],\"Services\":[]}}").into_bytes()
 }
 
+/// Guards against a server that ends with a change in progress, or that waits for an idle connection.
+#[tokio::test]
+async fn shutdown_waits_for_requests_in_progress_and_not_for_idle_connections() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("cannot bind a listener");
+    let address = listener.local_addr().expect("cannot read the address of the listener");
+    let (commands, mut queue) = mpsc::channel(4);
+    let server = operator::serve(listener, commands, RejectionCounters::default());
+    let idle = TcpStream::connect(address).await.expect("cannot connect to the listener");
+    let body = configuration(9);
+    let change = send(address, "PUT /config HTTP/1.1\r\nIf-Match: 7", body.len(), &body).await;
+    let Some(Command::SubmitConfig { reply, .. }) = queue.recv().await else { panic!("no change") };
+    let shutdown = tokio::spawn(async move { server.shut_down(Duration::from_secs(10)).await });
+    assert_eq!(read_response(idle).await, "");
+    assert!(!shutdown.is_finished(), "a change is in progress");
+    assert!(reply.send(OperatorResponse::Accepted { version: 9 }).is_ok());
+    assert!(read_response(change).await.contains("{\"Version\":9}"));
+    assert!(shutdown.await.expect("the shutdown panicked"));
+}
+
 #[rstest]
 #[case::accepted("PUT /config HTTP/1.1\r\nIf-Match: 7", configuration(9), 200, "{\"Version\":9}")]
 #[case::quoted_base("PUT /config HTTP/1.1\r\nIf-Match: \"7\"", configuration(9), 200, "{\"Version\":9}")]
--- a/crates/lugwharf/src/front_end.rs
+++ b/crates/lugwharf/src/front_end.rs
@@ -46,11 +46,15 @@
     let discovery_address = SocketAddr::new(settings.listen_ip(), settings.internal_ports().agent);
     let control_plane = ControlPlaneStatus::default();
     let (target_sender, target_receiver) = watch::channel(None);
-    gateway::serve(listen(address).await?, target_receiver);
+    let redirects = gateway::serve(listen(address).await?, target_receiver);
     tokio::spawn(redirect_to_followed(control_plane.followed.subscribe(), target_sender, address.port()));
     tokio::spawn(discovery::serve(listen(discovery_address).await?, control_plane.clone()));
     let options = AgentOptions { control_plane, ..options };
-    lugwharf_agent::run(settings, options).await
+    let result = lugwharf_agent::run(settings, options).await;
+    if !redirects.shut_down(gateway::MAX_REDIRECT_TIME).await {
+        warn!("redirects", kv: { outcome = "cut_off" });
+    }
+    result
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
--- a/crates/lugwharf/tests/graceful_leave.rs
+++ b/crates/lugwharf/tests/graceful_leave.rs
@@ -4,6 +4,7 @@
 
 use lugwharf_emulator::cluster::{Signal, poll};
 use lugwharf_emulator::operator::Operator;
+use lugwharf_emulator::wire::{Connection, Request};
 use support::{Fleet, SMALL, Topology, next_configuration};
 
 /// One front-end node and four control machines, one of which is not a member of the view.
@@ -106,3 +107,30 @@
         assert!(poll(is_back).await, "{}", fleet.cluster.logs());
     }
 }
+
+/// Guards against a change that is read whole and cut off without an answer when its control process ends.
+/// Without a majority, the change stays undecided until its timeout.
+#[tokio::test]
+async fn change_in_progress_is_answered_before_its_process_ends() {
+    let mut fleet = Fleet::start(SMALL).await;
+    for lost in [1, 2] {
+        fleet.cluster.kill_control(lost).expect("cannot kill the process");
+    }
+    let address = fleet.cluster.control_address(0);
+    let mut connection = Connection::open(address).await.expect("cannot connect to the control process");
+    let mut request = Request::new("PUT", "/config");
+    request.headers.push("Host", address.to_string());
+    request.headers.push("If-Match", "1");
+    request.headers.push("Expect", "100-continue");
+    request.body = next_configuration(3, "/added/").to_bytes();
+    let bytes = request.encode();
+    let (head, body) = bytes.split_at(bytes.len() - request.body.len());
+    connection.write(head).await.expect("cannot send the head");
+    connection.fill().await.expect("cannot receive the interim response");
+    assert!(connection.unread().starts_with(b"HTTP/1.1 100 "), "{:?}", connection.unread());
+    fleet.cluster.signal_control(0, Signal::Terminate).expect("cannot terminate the process");
+    connection.write(body).await.expect("cannot send the body");
+    let response = connection.read_response().await.expect("no response");
+    assert_eq!(response.status, 503, "{}", fleet.cluster.logs());
+    assert_eq!(response.headers.get("connection"), Some("close"));
+}
