Soak: clients that use each connection until it is gone, and a judge of unanswered requests

The soak's clients sent one request at a time, paused before the next, and left when a response announced the close of the connection, so that no run could show a request that was read whole and never answered.

Each keeps a ledger of what it sent whole and what came back; a reader of its own, without code of the proxy or of the emulator's parser, reads the responses strictly.

On the way: Attempt names itself in findings, which ends the circle of imports between checker/limits and checker/requests.

--- a/crates/emulator/src/client/outcome.rs
+++ b/crates/emulator/src/client/outcome.rs
@@ -100,7 +100,7 @@
     }
 
     /// Compares the response with the request and the stamp, and records the checks that fail.
-    pub(super) fn check(&mut self) {
+    pub fn check(&mut self) {
         let Some(status) = self.status else {
             return;
         };
--- a/crates/lugwharf/tests/soak.rs
+++ b/crates/lugwharf/tests/soak.rs
@@ -3,7 +3,7 @@
 //! `lugwharf-soak` runs more seeds. The records of a seed that fails here are in the directory that the panic
 //! names.
 
-use lugwharf_soak::{Overlap, Scenario, Schedule, run, write_run_folder};
+use lugwharf_soak::{FaultKind, Overlap, Scenario, Schedule, run, write_run_folder};
 use rstest::rstest;
 use std::path::Path;
 use std::time::Duration;
@@ -32,10 +32,26 @@
     assert_no_findings(&Scenario::without_core(seed, Overlap(overlap), FAULT_DURATION)).await;
 }
 
+/// Guards against requests that are read whole and never answered, above all around shutdowns: planned work in
+/// two series, beside clients that use each connection until it is gone.
+#[rstest]
+#[case(201)]
+#[case(202)]
+#[case(203)]
+#[tokio::test]
+async fn planned_work_has_no_findings(#[case] seed: u64) {
+    let scenario = Scenario::with_core(seed, Overlap(2), FAULT_DURATION);
+    let schedule = Schedule::draw_from_kinds(&scenario, &FaultKind::planned_kinds());
+    assert_schedule_has_no_findings(&scenario, &schedule).await;
+}
+
 async fn assert_no_findings(scenario: &Scenario) {
+    assert_schedule_has_no_findings(scenario, &Schedule::draw(scenario)).await;
+}
+
+async fn assert_schedule_has_no_findings(scenario: &Scenario, schedule: &Schedule) {
     let seed = scenario.seed;
-    let schedule = Schedule::draw(scenario);
-    let outcome = run(Path::new(env!("CARGO_BIN_EXE_lugwharf")), scenario, &schedule)
+    let outcome = run(Path::new(env!("CARGO_BIN_EXE_lugwharf")), scenario, schedule)
         .await
         .expect("the soak run failed");
     assert!(
--- a/crates/soak/src/checker/limits.rs
+++ b/crates/soak/src/checker/limits.rs
@@ -2,7 +2,6 @@
 
 use super::fault_attribution::is_routing_undisturbed;
 use super::records::RunRecords;
-use super::requests::describe;
 use super::versions::versions_in_force;
 use crate::configuration::{MIN_MAX_BODY_BYTES, max_body_bytes};
 use crate::finding::Finding;
@@ -38,7 +37,7 @@
             (false, false) => continue,
         };
         let (sent_at, status) = (attempt.sent_at.as_millis(), attempt.outcome.status);
-        let facts = format!("{}, sent at {sent_at} ms: {status:?}", describe(attempt));
+        let facts = format!("{attempt}, sent at {sent_at} ms: {status:?}");
         found.push(Finding { rule, facts });
     }
 }
--- a/crates/soak/src/checker/mod.rs
+++ b/crates/soak/src/checker/mod.rs
@@ -8,6 +8,7 @@
 //! | `routes` | which service executed a request |
 //! | `limits` | by which limits a request was judged |
 //! | `versions` | none: the versions of the configuration that may be in force |
+//! | `unanswered` | requests on kept connections without a response |
 //! | `servers` | draining servers, and stage orders |
 //! | `configurations` | writes and reads of configurations |
 //! | `fault_attribution` | which failures a scheduled fault explains, and for how long |
@@ -19,11 +20,13 @@
 mod requests;
 mod routes;
 mod servers;
+mod unanswered;
 mod versions;
 
 use crate::finding::Finding;
 
 pub use records::{DrainedServer, HostedControl, RunRecords};
+pub use unanswered::{Unanswered, unanswered};
 
 /// Runs all checks, and returns the violations.
 pub fn check(records: &RunRecords<'_>) -> Vec<Finding> {
@@ -32,6 +35,7 @@
     routes::check(records, &mut found);
     limits::check(records, &mut found);
     servers::check(records, &mut found);
+    unanswered::check(records, &mut found);
     configurations::check(records, &mut found);
     found
 }
--- a/crates/soak/src/checker/records.rs
+++ b/crates/soak/src/checker/records.rs
@@ -1,6 +1,7 @@
 //! The records of a run that the checks read.
 
 use crate::operator_log::OperatorLog;
+use crate::persistent_clients::ConnectionLedger;
 use crate::schedule::Schedule;
 use crate::traffic::Attempt;
 use lugwharf_emulator::request_log::RequestLog;
@@ -41,6 +42,8 @@
     pub request_log: &'a RequestLog,
     /// The requests that the clients sent, with their outcomes.
     pub attempts: &'a [Attempt],
+    /// The connections of the clients that use each until it is gone. Their requests are among `attempts`.
+    pub connections: &'a [ConnectionLedger],
     /// The writes and reads of the operators, with their outcomes.
     pub operator_log: &'a OperatorLog,
     /// The log of the proxy of each front-end node.
--- a/crates/soak/src/checker/requests.rs
+++ b/crates/soak/src/checker/requests.rs
@@ -44,13 +44,13 @@
     for attempt in records.attempts {
         let outcome = &attempt.outcome;
         if !outcome.failed_checks.is_empty() {
-            let facts = format!("{} {:?} {:?}", describe(attempt), outcome.ending, outcome.failed_checks);
+            let facts = format!("{attempt} {:?} {:?}", outcome.ending, outcome.failed_checks);
             found.push(Finding { rule: "answer", facts });
         }
         let is_explained = is_explained_by_front_fault(records, attempt)
             || is_explained_by_server_fault(records.schedule, attempt);
         if has_failed(attempt) && !is_explained {
-            let facts = format!("{} {:?} {:?}", describe(attempt), outcome.ending, outcome.status);
+            let facts = format!("{attempt} {:?} {:?}", outcome.ending, outcome.status);
             found.push(Finding { rule: "failed_without_cause", facts });
         }
     }
@@ -62,7 +62,7 @@
     let failed = attempts.filter(|attempt| has_failed(attempt));
     for attempt in failed.filter(|attempt| !is_explained_by_front_fault(records, attempt)) {
         let AttemptOutcome { ending, status, .. } = &attempt.outcome;
-        let facts = format!("{} {ending:?} {status:?}", describe(attempt));
+        let facts = format!("{attempt} {ending:?} {status:?}");
         found.push(Finding { rule: "failed_after_healing", facts });
     }
 }
@@ -84,7 +84,7 @@
             .collect();
         let omitted = records.omitted_log_lines.get(front).copied().unwrap_or(0);
         if unlogged.len() as u64 > omitted {
-            let first = unlogged.first().map_or(String::new(), |attempt| describe(attempt));
+            let first = unlogged.first().map_or(String::new(), |attempt| attempt.to_string());
             let facts = format!(
                 "front {front}: {} failed requests without a log line, {omitted} lines omitted; {first}",
                 unlogged.len()
@@ -110,7 +110,7 @@
             || is_explained_by_server_fault(records.schedule, attempt);
         if is_late && !is_explained {
             let until = completion.at.as_millis();
-            let facts = format!("{}: a server executed the request until {until} ms", describe(attempt));
+            let facts = format!("{attempt}: a server executed the request until {until} ms");
             found.push(Finding { rule: "gone", facts });
         }
     }
@@ -122,7 +122,7 @@
             was_server_blackholed(records, attempt) || is_explained_by_front_fault(records, attempt);
         if is_late && !is_explained {
             let (instance, at) = (&arrival.instance, arrival.at.as_millis());
-            let facts = format!("{} reached {instance} at {at} ms", describe(attempt));
+            let facts = format!("{attempt} reached {instance} at {at} ms");
             found.push(Finding { rule: "gone", facts });
         }
     }
@@ -138,11 +138,3 @@
 fn has_failed(attempt: &Attempt) -> bool {
     attempt.behaviour.awaits_response() && !attempt.outcome.is_success() && !is_body_rejected(attempt)
 }
-
-/// The text that identifies an attempt in findings.
-pub fn describe(attempt: &Attempt) -> String {
-    let Attempt { front, behaviour, started_at, ended_at, outcome, .. } = attempt;
-    let (id, target) = (&outcome.request_id, &outcome.target);
-    let (from, until) = (started_at.as_millis(), ended_at.as_millis());
-    format!("{id} {target} {behaviour:?} front {front} {from}..{until} ms")
-}
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -122,6 +122,19 @@
         FaultKind::ALL.iter().copied().filter(|kind| !kind.needs_idle_machine()).collect()
     }
 
+    /// The kinds of planned work: restarts, new settings and new configurations. None of them excuses a request
+    /// that is lost.
+    pub fn planned_kinds() -> Vec<FaultKind> {
+        vec![
+            FaultKind::FrontTerm,
+            FaultKind::ControlTerm,
+            FaultKind::AgentKill,
+            FaultKind::Reload,
+            FaultKind::ConcurrentConfigWrites,
+            FaultKind::ConfigWriteBurst,
+        ]
+    }
+
     /// Whether the fault may cause requests to fail on a busy machine that would succeed on an idle one. The
     /// proxy waits 2 ms for the reset of a dropped idle connection, and the emulated server must be scheduled
     /// within that time to send the reset.
--- a/crates/soak/src/harness.rs
+++ b/crates/soak/src/harness.rs
@@ -1,10 +1,11 @@
 //! Runs one scenario on real processes: starts the fleet, injects the faults, and evaluates the findings.
 
-use crate::checker::{RunRecords, check};
+use crate::checker::{RunRecords, check, unanswered};
 use crate::finding::Finding;
 use crate::fleet::Fleet;
 use crate::operator_log::OperatorLog;
 use crate::operators::Operators;
+use crate::persistent_clients::{ConnectionLedger, PersistentClients};
 use crate::process_id::ProcessId;
 use crate::process_monitor::ProcessMonitor;
 use crate::recovery::{await_recovery, verify_final_reads, verify_final_write};
@@ -51,6 +52,7 @@
     played: PlayedSchedule,
     recovered_at: Duration,
     attempts: Vec<Attempt>,
+    connections: Vec<ConnectionLedger>,
     operator_log: OperatorLog,
     monitor: ProcessMonitor,
     /// The findings of the recovery checks.
@@ -78,6 +80,8 @@
 async fn observe_run(fleet: &mut Fleet, scenario: &Scenario, schedule: &Schedule) -> Result<RunObservations> {
     let operators = Operators::start(&fleet.environment, fleet.operator_addresses(), scenario.seed);
     let traffic = Traffic::start(&fleet.environment, fleet.cluster.front_addresses(), scenario.seed);
+    let persistent =
+        PersistentClients::start(&fleet.environment, fleet.cluster.front_addresses(), scenario.seed);
     let mut monitor = ProcessMonitor::default();
     let started_at = fleet.environment.now();
     let schedule = schedule.shifted_by(started_at);
@@ -86,7 +90,9 @@
     let mut recovery_findings = await_recovery(fleet).await;
     let recovered_at = fleet.environment.now();
     tokio::time::sleep(SETTLE_TIME).await;
-    let attempts = traffic.finish().await;
+    let mut attempts = traffic.finish().await;
+    let connections = persistent.finish().await;
+    attempts.extend(connections.iter().flat_map(|ledger| ledger.requests.iter().cloned()));
     let operator_log = operators.finish().await;
     recovery_findings.extend(verify_final_write(fleet, FINAL_VERSION, &operator_log).await);
     recovery_findings.extend(verify_final_reads(fleet, &operator_log).await);
@@ -97,6 +103,7 @@
         played,
         recovered_at,
         attempts,
+        connections,
         operator_log,
         monitor,
         recovery_findings,
@@ -105,25 +112,38 @@
 
 /// Checks the records of a run.
 fn evaluate_run(fleet: &mut Fleet, schedule: &Schedule, observations: RunObservations) -> RunOutcome {
-    let RunObservations { started_at, played, recovered_at, attempts, operator_log, monitor, .. } =
-        observations;
+    let RunObservations {
+        started_at,
+        played,
+        recovered_at,
+        attempts,
+        connections,
+        operator_log,
+        monitor,
+        ..
+    } = observations;
     let mut findings = observations.recovery_findings;
     let fronts = 0..fleet.front_count;
     let proxy_logs: Vec<String> = fronts.clone().map(|front| proxy_log(fleet, front)).collect();
     let omitted_log_lines: Vec<u64> = fronts.map(|front| monitor.omitted_log_lines(front)).collect();
     findings.extend(monitor.into_findings());
-    findings.extend(check(&RunRecords {
+    let hosted_control = fleet.hosted_control();
+    let records = RunRecords {
         schedule: &played.schedule,
         request_log: fleet.environment.request_log(),
         attempts: &attempts,
+        connections: &connections,
         operator_log: &operator_log,
         proxy_logs: &proxy_logs,
         omitted_log_lines: &omitted_log_lines,
         drained_servers: &played.drained_servers,
         front_count: fleet.front_count,
-        hosted_control: &fleet.hosted_control(),
+        hosted_control: &hosted_control,
         recovered_at,
-    }));
+    };
+    findings.extend(check(&records));
+    let mut ledger = run_log::render(started_at, &operator_log, &attempts, records.request_log);
+    ledger.push_str(&run_log::render_unanswered(&unanswered(&records)));
     let logs = fleet.cluster.logs();
     findings.extend(find_panics(&logs));
     let violations = fleet.cluster.take_violations().into_iter();
@@ -135,7 +155,7 @@
         successes: attempts.iter().filter(|attempt| attempt.outcome.is_success()).count(),
         changes: operator_log.writes().len(),
         reads: operator_log.reads().iter().filter(|read| read.bytes.is_some()).count(),
-        ledger: run_log::render(started_at, &operator_log, &attempts, fleet.environment.request_log()),
+        ledger,
         logs,
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `timeline` | runs a schedule |
 //! | `fault_injection`, `link_faults`, `startup_faults` | inject a fault and recover from it |
 //! | `traffic` | the client load |
+//! | `persistent_clients`, `response_reader` | clients that use each connection until it is gone; their strict reader |
 //! | `operators`, `operator_log` | writes, concurrent writes, resends and reads of configurations; their log |
 //! | `process_monitor` | exits, metrics and resource use of the processes during a run |
 //! | `recovery` | the conditions that must hold once all faults are over |
@@ -36,12 +37,16 @@
 mod link_proxy_tests;
 mod operator_log;
 mod operators;
+mod persistent_clients;
 mod process_id;
 mod process_monitor;
 mod recovery;
 mod report;
 #[cfg(test)]
 mod report_tests;
+mod response_reader;
+#[cfg(test)]
+mod response_reader_tests;
 mod run_log;
 #[cfg(test)]
 mod run_log_tests;
--- a/crates/soak/src/run_log.rs
+++ b/crates/soak/src/run_log.rs
@@ -2,6 +2,7 @@
 //!
 //! The format is fixed, since ledgers are compared with those of earlier runs.
 
+use crate::checker::Unanswered;
 use crate::configuration::version_of;
 use crate::operator_log::OperatorLog;
 use crate::traffic::Attempt;
@@ -58,3 +59,13 @@
         let _ = writeln!(text, "order {} {} {}", order.at.as_millis(), order.instance, order.body);
     }
 }
+
+/// Renders the requests without a complete response, with the sentence that excuses each, if one does.
+pub fn render_unanswered(unanswered: &[Unanswered<'_>]) -> String {
+    let mut text = String::new();
+    for Unanswered { attempt, excuse } in unanswered {
+        let excuse = excuse.map_or_else(|| "no excuse".to_owned(), |excuse| excuse.to_string());
+        let _ = writeln!(text, "unanswered {attempt}, sent at {} ms: {excuse}", attempt.sent_at.as_millis());
+    }
+    text
+}
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -5,6 +5,7 @@
 use lugwharf_emulator::client::{AttemptEnd, AttemptOutcome, Client, ClientRequest, RequestKind};
 use lugwharf_emulator::host::Environment;
 use lugwharf_emulator::wire::Connection;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -44,6 +45,8 @@
     Stopping,
     /// The client opens its connection ahead of use, and rests on it before each request.
     Resting,
+    /// The client uses its connection until that is gone. `checker/unanswered.rs` checks its responses.
+    Persistent,
 }
 
 impl Behaviour {
@@ -74,6 +77,16 @@
     pub outcome: AttemptOutcome,
 }
 
+/// The text that identifies an attempt in findings.
+impl fmt::Display for Attempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Attempt { front, behaviour, started_at, ended_at, outcome, .. } = self;
+        let (id, target) = (&outcome.request_id, &outcome.target);
+        let (from, until) = (started_at.as_millis(), ended_at.as_millis());
+        write!(f, "{id} {target} {behaviour:?} front {front} {from}..{until} ms")
+    }
+}
+
 /// The state that all clients share.
 #[derive(Clone)]
 struct ClientContext {
@@ -161,7 +174,9 @@
     }
     let sent_at = context.environment.now();
     let outcome = match behaviour {
-        Behaviour::Steady | Behaviour::Slow | Behaviour::Resting => client.send(&request).await,
+        Behaviour::Steady | Behaviour::Slow | Behaviour::Resting | Behaviour::Persistent => {
+            client.send(&request).await
+        }
         Behaviour::Leaving => {
             let disconnect_delay = Duration::from_millis(rng.u64(1..60));
             let sent = timeout(disconnect_delay, client.send(&request)).await.ok();
