Keep a client connection that waits for its admission when a shutdown begins

Callers saw: at the limit on connections, one client's connection was reset when SIGTERM came, with the request that it had sent, although the proxy accepts connections for 2.3 s more.

Cause: the accepted connection was a local variable of listen, across the wait for capacity. run_until drops that future on SIGTERM and drain starts another.

Evidence: the test with the connection as a local variable fails (ConnectionReset). Found by reading, while all ways were listed in which a client connection ends.

ClientListener owns the connection that waits, so that the next call admits it.

Measured: the test passes, and all tests of the crate.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -30,6 +30,7 @@
 
 use eyre::{OptionExt, WrapErr};
 use inbound::connections::ClientConnections;
+use inbound::listener::ClientListener;
 use lugwharf_routing::Tuning;
 use lugwharf_settings::{Settings, SettingsFollower};
 use lugwharf_telemetry::MetricsEndpoint;
@@ -96,6 +97,7 @@
     let follower = SettingsFollower::new(&settings).wrap_err("cannot install the SIGHUP handler")?;
     let state = ProxyState::new(&settings, options.tuning, random_seed(&settings));
     let connections = ClientConnections::new(settings.limits.max_fds);
+    let mut listener = ClientListener::new(front);
     let grace = Duration::from_secs_f64(settings.bounds.grace_s.min(3_600.0));
     let local = LocalSet::new();
     local.spawn_local(agent_feed::run(state.clone(), settings.feed_address()));
@@ -109,10 +111,10 @@
     let serving = async move {
         tokio::select! {
             () = stop => {}
-            () = inbound::listener::listen(&state, &connections, &front) => {}
+            () = listener.listen(&state, &connections) => {}
         }
         spdlog::info!("shutdown outcome=started");
-        shutdown::drain(&state, &connections, front, grace).await;
+        shutdown::drain(&state, &connections, listener, grace).await;
     };
     local.run_until(serving).await;
     Ok(())
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -5,11 +5,10 @@
 //! late requests are only forwarded if they are due before that.
 
 use crate::inbound::connections::ClientConnections;
-use crate::inbound::listener::{admit_accepted, listen};
+use crate::inbound::listener::ClientListener;
 use crate::state::ProxyState;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::time::{Instant, timeout_at};
 
 /// The time until the platform routes no more clients to this process: the platform checks readiness once a
@@ -49,7 +48,8 @@
 /// Shuts down gracefully. Returns once no client connection is open, at the latest [`KILL_MARGIN`] before the
 /// end of `grace`.
 pub async fn drain(
-    state: &Rc<ProxyState>, connections: &Rc<ClientConnections>, listener: TcpListener, grace: Duration,
+    state: &Rc<ProxyState>, connections: &Rc<ClientConnections>, mut listener: ClientListener,
+    grace: Duration,
 ) {
     let started = Instant::now();
     let shutdown_deadline = started + grace.saturating_sub(KILL_MARGIN);
@@ -60,8 +60,8 @@
     state.start_draining(service_end);
     let accept_until = (started + PLATFORM_DETECTION_TIME).min(shutdown_deadline);
     // Always times out, since `listen` never returns.
-    let _ = timeout_at(accept_until, listen(state, connections, &listener)).await;
-    admit_accepted(state, connections, listener);
+    let _ = timeout_at(accept_until, listener.listen(state, connections)).await;
+    listener.admit_accepted(state, connections);
     state.stop_admission();
     close_connections(connections, service_end.at).await;
     connections.abort_requests();
