Config: give errors and schemas modules of their own

check and unique_names imported each other: the error type stood beside the validation that uses both. Moved as they were, no behaviour changes.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,88 +1,10 @@
 //! Validation of a configuration from the operator: first against the schema, then against the rules that a
 //! schema cannot express.
 
-use crate::{Configuration, Route, SCHEMA, unique_names};
-use jsonschema::Validator;
-use serde_json::Value;
+use crate::error::{ConfigError, ConfigErrorKind};
+use crate::schema::LazySchema;
+use crate::{Configuration, Route, SCHEMA};
 use std::collections::HashSet;
-use std::sync::OnceLock;
-
-/// The kind of error in a configuration or a patch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConfigErrorKind {
-    /// The bytes are not JSON.
-    NotJson,
-    /// An object has a name twice, so that its value is ambiguous.
-    DuplicateField,
-    /// The text does not match the schema: a field is missing or has a wrong type or value.
-    Schema,
-    /// A route refers to a service that does not exist.
-    UnknownService,
-    /// Two routes have the same host and prefix.
-    DuplicateRoute,
-    /// The weights of a route do not add up to a finite number above 0.
-    ZeroWeight,
-    /// The timeout of a route is not a finite number above 0.
-    ZeroTimeout,
-    /// A path prefix does not begin and end with a slash.
-    InvalidPrefix,
-    /// Two services have the same name, or a patch names an item twice.
-    DuplicateName,
-    /// A patch removes an item that does not exist.
-    UnknownName,
-}
-
-/// Why a configuration or a patch is invalid, and where.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{field}: {reason}")]
-pub struct ConfigError {
-    /// The kind of error.
-    pub kind: ConfigErrorKind,
-    /// The location of the error, as a JSON pointer (RFC 6901); empty for the complete text.
-    pub field: String,
-    /// The description of the error, for the operator.
-    pub reason: String,
-}
-
-impl ConfigError {
-    pub(crate) fn new(kind: ConfigErrorKind, field: impl Into<String>, reason: impl Into<String>) -> Self {
-        ConfigError { kind, field: field.into(), reason: reason.into() }
-    }
-}
-
-/// A JSON schema that is compiled once, on first use.
-pub(crate) struct LazySchema {
-    schema: &'static str,
-    validator: OnceLock<Option<Validator>>,
-}
-
-impl LazySchema {
-    pub(crate) const fn new(schema: &'static str) -> LazySchema {
-        LazySchema { schema, validator: OnceLock::new() }
-    }
-
-    fn validator(&self) -> Option<&Validator> {
-        let compile = || {
-            let schema: Value = serde_json::from_str(self.schema).ok()?;
-            jsonschema::validator_for(&schema).ok()
-        };
-        self.validator.get_or_init(compile).as_ref()
-    }
-
-    /// Parses JSON text and validates it against the schema. The error names the first location that does not
-    /// match.
-    pub(crate) fn parse(&self, bytes: &[u8]) -> Result<Value, ConfigError> {
-        let value = unique_names::parse(bytes)?;
-        let validator = self.validator();
-        let validator = validator
-            .ok_or_else(|| ConfigError::new(ConfigErrorKind::Schema, "", "the schema can't be read"))?;
-        if let Some(error) = validator.iter_errors(&value).next() {
-            let field = error.instance_path().to_string();
-            return Err(ConfigError::new(ConfigErrorKind::Schema, field, error.to_string()));
-        }
-        Ok(value)
-    }
-}
 
 static CONFIGURATION_SCHEMA: LazySchema = LazySchema::new(SCHEMA);
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,12 +7,14 @@
 #![forbid(unsafe_code)]
 
 mod check;
+mod error;
 mod model;
 mod patch;
 mod route_table;
+mod schema;
 mod unique_names;
 
-pub use check::{ConfigError, ConfigErrorKind};
+pub use error::{ConfigError, ConfigErrorKind};
 pub use model::{
     Configuration, Engine, Limits, Route, RouteKind, RouteTarget, Service, VersionNumber, WeightedService,
 };
--- a/crates/config/src/patch.rs
+++ b/crates/config/src/patch.rs
@@ -3,7 +3,8 @@
 //! Applying a patch is deterministic: the same patch on the same base gives the same bytes in every process.
 //! Processes that independently apply a patch to the same base therefore propose the same configuration.
 
-use crate::check::{ConfigError, ConfigErrorKind, LazySchema};
+use crate::error::{ConfigError, ConfigErrorKind};
+use crate::schema::LazySchema;
 use crate::{Configuration, PATCH_SCHEMA, VersionNumber};
 use serde::Deserialize;
 use serde_json::{Map, Value};
--- a/crates/config/src/unique_names.rs
+++ b/crates/config/src/unique_names.rs
@@ -3,7 +3,7 @@
 //! JSON leaves open what such an object means (RFC 8259, section 4), and parsers differ: one takes the last
 //! value, another rejects the text.
 
-use crate::check::{ConfigError, ConfigErrorKind};
+use crate::error::{ConfigError, ConfigErrorKind};
 use serde::de::{DeserializeSeed, Deserializer, Error, MapAccess, SeqAccess, Visitor};
 use serde_json::{Map, Number, Value};
 use std::cell::RefCell;
