--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -141,7 +141,7 @@
     // The controller still decides the operator's requests in progress, while nothing else waits for it.
     let remaining = grace.saturating_sub(started_at.elapsed());
     if !operator_api.shut_down(operator::MAX_RESPONSE_TIME.min(remaining)).await {
-        warn!("operator_api", kv: { outcome = "cut_off" });
+        warn!("shutdown", kv: { outcome = "requests_cut_off" });
     }
     Ok(())
 }
--- a/crates/lugwharf/src/front_end.rs
+++ b/crates/lugwharf/src/front_end.rs
@@ -52,7 +52,7 @@
     let options = AgentOptions { control_plane, ..options };
     let result = lugwharf_agent::run(settings, options).await;
     if !redirects.shut_down(gateway::MAX_REDIRECT_TIME).await {
-        warn!("redirects", kv: { outcome = "cut_off" });
+        warn!("shutdown", kv: { outcome = "requests_cut_off" });
     }
     result
 }
