--- a/crates/soak/src/harness.rs
+++ b/crates/soak/src/harness.rs
@@ -112,37 +112,29 @@
 
 /// Checks the records of a run.
 fn evaluate_run(fleet: &mut Fleet, schedule: &Schedule, observations: RunObservations) -> RunOutcome {
-    let RunObservations {
-        started_at,
-        played,
-        recovered_at,
-        attempts,
-        connections,
-        operator_log,
-        monitor,
-        ..
-    } = observations;
-    let mut findings = observations.recovery_findings;
+    let RunObservations { played, attempts, operator_log, .. } = &observations;
+    let mut findings = observations.recovery_findings.clone();
     let fronts = 0..fleet.front_count;
     let proxy_logs: Vec<String> = fronts.clone().map(|front| proxy_log(fleet, front)).collect();
-    let omitted_log_lines: Vec<u64> = fronts.map(|front| monitor.omitted_log_lines(front)).collect();
-    findings.extend(monitor.into_findings());
+    let omitted_log_lines: Vec<u64> =
+        fronts.map(|front| observations.monitor.omitted_log_lines(front)).collect();
+    findings.extend(observations.monitor.findings());
     let hosted_control = fleet.hosted_control();
     let records = RunRecords {
         schedule: &played.schedule,
         request_log: fleet.environment.request_log(),
-        attempts: &attempts,
-        connections: &connections,
-        operator_log: &operator_log,
+        attempts,
+        connections: &observations.connections,
+        operator_log,
         proxy_logs: &proxy_logs,
         omitted_log_lines: &omitted_log_lines,
         drained_servers: &played.drained_servers,
         front_count: fleet.front_count,
         hosted_control: &hosted_control,
-        recovered_at,
+        recovered_at: observations.recovered_at,
     };
     findings.extend(check(&records));
-    let mut ledger = run_log::render(started_at, &operator_log, &attempts, records.request_log);
+    let mut ledger = run_log::render(observations.started_at, operator_log, attempts, records.request_log);
     ledger.push_str(&run_log::render_unanswered(&unanswered(&records)));
     let logs = fleet.cluster.logs();
     findings.extend(find_panics(&logs));
--- a/crates/soak/src/process_monitor.rs
+++ b/crates/soak/src/process_monitor.rs
@@ -116,8 +116,8 @@
     }
 
     /// All violations that were observed.
-    pub fn into_findings(self) -> BTreeSet<Finding> {
-        self.findings
+    pub fn findings(&self) -> BTreeSet<Finding> {
+        self.findings.clone()
     }
 
     fn report(&mut self, rule: &'static str, facts: String) {
