Test that a shutdown answers more pipelined requests than are read ahead

60 requests, 15 KB, behind one at a server: each is answered, and the last response alone announces the close.

--- a/crates/proxy/tests/connection_close.rs
+++ b/crates/proxy/tests/connection_close.rs
@@ -136,6 +136,29 @@
     .await;
 }
 
+/// Guards against pipelined requests that are still in the kernel when the close is announced, since no more
+/// than 8 KiB are read ahead.
+#[tokio::test]
+async fn shutdown_answers_more_requests_than_are_read_ahead() {
+    const REQUESTS: usize = 60;
+    with_proxy_until_shutdown(Scenario::new("unsafe"), async |proxy| {
+        let (mut client, mut server, _) = proxy.dispatch("r1", "").await;
+        let padding = format!("X: {}\r\n", "x".repeat(200));
+        client.send(&unrouted_request("GET", &padding, "").repeat(REQUESTS)).await;
+        proxy.begin_shutdown();
+        assert_eq!(proxy.readiness_status().await, 503);
+        server.send(&closing(&ok_response("r1", "r1"))).await;
+        assert_eq!(client.read_response().await.header("connection"), None);
+        for number in 1..=REQUESTS {
+            let response = client.read_response().await;
+            let is_last = number == REQUESTS;
+            assert_eq!((response.status(), response.header("connection").is_some()), (404, is_last));
+        }
+        tokio::time::pause();
+    })
+    .await;
+}
+
 /// Guards against requests of a client that always has a further one under way: they were discarded when the
 /// connection closed, or aborted when the shutdown ended. Late ones are answered at once, so that the last
 /// response finds no further request.
