--- a/crates/lugwharf/tests/command_line.rs
+++ b/crates/lugwharf/tests/command_line.rs
@@ -1,48 +1,23 @@
 //! Tests of the command line of the binary: output and exit status.
 
+mod support;
+
 use lugwharf_emulator::cluster::SettingsSpec;
 use lugwharf_emulator::configuration::{ConfigurationSpec, RouteSpec, ServiceSpec};
 use rstest::rstest;
 use serde_json::{Value, json};
-use std::path::PathBuf;
-use std::process::{Command, Output};
+use std::process::Output;
+use support::command::{TemporaryFile, run};
 
 // The exit statuses of the binary.
 const SUCCESS: i32 = 0;
 const FAILURE: i32 = 1;
 const USAGE_ERROR: i32 = 2;
 
-fn run(arguments: &[&str]) -> Output {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_lugwharf"));
-    command.args(arguments).env_clear().env("LUGWHARF_BOOT", "/nonexistent/settings.toml");
-    command.output().expect("cannot run the binary")
-}
-
 fn stdout(output: &Output) -> String {
     String::from_utf8(output.stdout.clone()).expect("the standard output is not UTF-8")
 }
 
-/// A file that is removed when the test ends.
-struct TemporaryFile(PathBuf);
-
-impl TemporaryFile {
-    fn new(name: &str, text: &str) -> TemporaryFile {
-        let path = std::env::temp_dir().join(format!("lugwharf-command-line-{}-{name}", std::process::id()));
-        std::fs::write(&path, text).expect("cannot write the file");
-        TemporaryFile(path)
-    }
-
-    fn path(&self) -> &str {
-        self.0.to_str().expect("the path is not UTF-8")
-    }
-}
-
-impl Drop for TemporaryFile {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
-    }
-}
-
 /// Asserts one plain line with all of `expected` on standard error, nothing on standard output, and this exit
 /// status.
 fn assert_ends(output: &Output, status: i32, expected: &[&str]) {
--- a/crates/lugwharf/tests/literal_output.rs
+++ b/crates/lugwharf/tests/literal_output.rs
@@ -2,40 +2,14 @@
 //!
 //! The expected texts were captured from commit 1a8c4db. Operators' tools match these lines.
 
+mod support;
+
 use lugwharf_emulator::cluster::SettingsSpec;
 use lugwharf_emulator::configuration::{ConfigurationSpec, RouteSpec, ServiceSpec};
 use rstest::rstest;
 use serde_json::{Value, json};
-use std::path::PathBuf;
-use std::process::{Command, Output};
-
-fn run(arguments: &[&str]) -> Output {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_lugwharf"));
-    command.args(arguments).env_clear().env("LUGWHARF_BOOT", "/nonexistent/settings.toml");
-    command.output().expect("cannot run the binary")
-}
-
-/// A file that is removed when the test ends.
-struct TemporaryFile(PathBuf);
-
-impl TemporaryFile {
-    fn new(name: &str, text: &str) -> TemporaryFile {
-        let path = std::env::temp_dir().join(format!("lugwharf-outside-{}-{name}", std::process::id()));
-        std::fs::write(&path, text).expect("cannot write the file");
-        TemporaryFile(path)
-    }
-
-    fn path(&self) -> &str {
-        self.0.to_str().expect("the path is not UTF-8")
-    }
-}
-
-impl Drop for TemporaryFile {
-    fn drop(&mut self) {
-        // A failure is ignored: a file that is left in the temporary directory does no harm.
-        let _ = std::fs::remove_file(&self.0);
-    }
-}
+use std::process::Output;
+use support::command::{TemporaryFile, run};
 
 /// Asserts exactly this text on standard error, nothing on standard output, and this exit status. `FILE` in
 /// the text stands for `path`.
--- a/crates/lugwharf/tests/support/mod.rs
+++ b/crates/lugwharf/tests/support/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod agent;
+pub mod command;
 
 use lugwharf_emulator::client::{AttemptOutcome, Client, ClientRequest, RequestKind};
 use lugwharf_emulator::cluster::{Cluster, ClusterOptions, ControlPlacement, Subnet, poll};
--- a/crates/proxy/tests/at_most_once.rs
+++ b/crates/proxy/tests/at_most_once.rs
@@ -211,16 +211,7 @@
     let scenario = Scenario::new("unsafe").servers(&NAMES).max_attempts(1).retry_budget(100.0);
     with_proxy(scenario, async |proxy| {
         let mut client = proxy.send_request("r1", "").await;
-        let mut attempts = 0;
-        let response = loop {
-            let mut server = tokio::select! {
-                response = client.read_message() => break response.expect("a complete response is received"),
-                (accepted, _) = proxy.accept_any(&NAMES) => accepted,
-            };
-            server.read_request().await;
-            server.send(&rejection("r1", 503)).await;
-            attempts += 1;
-        };
+        let (response, attempts) = proxy.reject_all_attempts(&mut client, "r1", &NAMES).await;
         assert_eq!((response.status(), attempts), (503, 4));
     })
     .await;
--- a/crates/proxy/tests/kv_handles.rs
+++ b/crates/proxy/tests/kv_handles.rs
@@ -333,16 +333,7 @@
     with_proxy(generation_scenario(&["p"], &NAMES).retry_budget(100.0), async |proxy| {
         let mut client = proxy.send_request("r1", "").await;
         let _prefill_server = serve_prefill(proxy, "p", &untyped_prefill_response("one")).await;
-        let mut attempts = 0;
-        let response = loop {
-            let mut server = tokio::select! {
-                response = client.read_message() => break response.expect("a complete response is received"),
-                (accepted, _) = proxy.accept_any(&NAMES) => accepted,
-            };
-            server.read_request().await;
-            server.send(&rejection("r1", 503)).await;
-            attempts += 1;
-        };
+        let (response, attempts) = proxy.reject_all_attempts(&mut client, "r1", &NAMES).await;
         assert_eq!((response.status(), attempts), (503, 4));
     })
     .await;
--- a/crates/proxy/tests/support/harness.rs
+++ b/crates/proxy/tests/support/harness.rs
@@ -1,7 +1,7 @@
 //! A running proxy, with an agent, servers and clients that the test controls.
 
 use super::connection::{Connection, Message};
-use super::messages::{ok_response, request, unrouted_request};
+use super::messages::{ok_response, rejection, request, unrouted_request};
 use super::scenario::{PLAIN_SERVERS, Route, Scenario};
 use lugwharf_config::Limits;
 use lugwharf_protocol::{
@@ -253,6 +253,25 @@
         (server, request, name)
     }
 
+    /// Rejects each attempt at these servers until the client has its response. Returns the response and the
+    /// number of attempts.
+    pub async fn reject_all_attempts(
+        &self, client: &mut Connection, id: &str, names: &[&'static str],
+    ) -> (Message, usize) {
+        let mut attempts = 0;
+        loop {
+            let mut server = tokio::select! {
+                response = client.read_message() => {
+                    return (response.expect("a complete response is received"), attempts);
+                }
+                (accepted, _) = self.accept_any(names) => accepted,
+            };
+            server.read_request().await;
+            server.send(&rejection(id, 503)).await;
+            attempts += 1;
+        }
+    }
+
     /// Stops a server, so that connections to it are refused.
     pub fn stop_server(&mut self, name: &str) {
         self.listeners.remove(name);
