Control: read a configuration that is too long to its end before rejecting it

Cause: the API answered by the announced length and closed the connection while the client was still writing. Unread bytes at the close reset the connection, and the reset discards the response.

Evidence: 16 MiB with a length and in chunks: ConnectionReset while the body is written, 2 of 2.

--- a/crates/control/src/operator/config_change.rs
+++ b/crates/control/src/operator/config_change.rs
@@ -7,6 +7,7 @@
 use super::response::Response;
 use crate::logs::{ConfigHash, Excerpt};
 use crate::operator_error::{ErrorKind, OperatorError};
+use futures_lite::AsyncReadExt;
 use lugwharf_chain::Blake3;
 use lugwharf_config::{ConfigError, Configuration, ConfigurationPatch};
 use lugwharf_protocol::MAX_FRAME_BYTES;
@@ -28,6 +29,13 @@
 /// The timeout for receiving a body, which occupies one of [`MAX_CONCURRENT_BODIES`] in the meantime.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The maximum number of bytes that are discarded of a body that is too long, and the pause after which no
+/// more of them are expected.
+const MAX_DISCARDED_BYTES: u64 = 64 * 1024 * 1024;
+const DISCARD_PAUSE: Duration = Duration::from_millis(200);
+/// The size of the buffer for one read of a body.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Handles changes by the operator.
 #[derive(Clone)]
 pub struct ConfigChanges {
@@ -139,14 +147,52 @@
     _permit: SemaphorePermit<'a>,
 }
 
+/// Receives the body of a change. A body that is too long is read to its end and discarded, since a client that
+/// is still writing it would lose the response: closing the connection with unread bytes resets it.
 async fn read_body(conn: &mut Conn) -> Result<Vec<u8>, OperatorError> {
-    let body = timeout(BODY_TIMEOUT, conn.request_body().read_bytes()).await;
-    body.map_err(|_| OperatorError::unavailable())?.map_err(|error| match error {
-        trillium_http::Error::ReceivedBodyTooLong(_) => {
-            OperatorError::new(ErrorKind::TooLarge, "the configuration is too long")
+    let length = conn.request_headers().get_str(KnownHeaderName::ContentLength);
+    let length: Option<u64> = length.and_then(|length| length.parse().ok());
+    let mut body = BoundedBody::new(length.unwrap_or(0));
+    let mut stream = conn.request_body().with_max_len(MAX_DISCARDED_BYTES);
+    let mut buffer = vec![0; READ_BUFFER_BYTES];
+    let receive = async {
+        loop {
+            let pause = if body.is_too_long { DISCARD_PAUSE } else { BODY_TIMEOUT };
+            match timeout(pause, stream.read(&mut buffer)).await {
+                Ok(Ok(0)) => return Ok(()),
+                Ok(Ok(read)) => body.push(&buffer[..read]),
+                Ok(Err(error)) => return Err(OperatorError::new(ErrorKind::Unreadable, error.to_string())),
+                Err(_) => return Err(OperatorError::unavailable()),
+            }
+        }
+    };
+    let received = timeout(BODY_TIMEOUT, receive).await.unwrap_or_else(|_| Err(OperatorError::unavailable()));
+    if body.is_too_long {
+        return Err(OperatorError::new(ErrorKind::TooLarge, "the configuration is too long"));
+    }
+    received.map(|()| body.bytes)
+}
+
+/// The body of a change, without its bytes once it is too long.
+struct BoundedBody {
+    bytes: Vec<u8>,
+    is_too_long: bool,
+}
+
+impl BoundedBody {
+    /// Creates the body of a request that announces `length` bytes.
+    fn new(length: u64) -> BoundedBody {
+        BoundedBody { bytes: Vec::new(), is_too_long: length > MAX_CONFIG_BYTES }
+    }
+
+    fn push(&mut self, bytes: &[u8]) {
+        self.is_too_long |= (self.bytes.len() + bytes.len()) as u64 > MAX_CONFIG_BYTES;
+        if self.is_too_long {
+            self.bytes = Vec::new();
+        } else {
+            self.bytes.extend_from_slice(bytes);
         }
-        error => OperatorError::new(ErrorKind::Unreadable, error.to_string()),
-    })
+    }
 }
 
 /// A completely received change.
--- a/crates/control/src/operator_tests.rs
+++ b/crates/control/src/operator_tests.rs
@@ -264,6 +264,27 @@
     assert!(answer.starts_with("HTTP/1.1 413 ") && answer.contains("too_large"), "{answer}");
 }
 
+/// Guards against a 413 that is lost to a reset, since the operator is still writing the body.
+#[rstest]
+#[case::length(16 * 1024 * 1024, "Content-Length: 16777216")]
+#[case::chunks(16 * 1024 * 1024, "Transfer-Encoding: chunked")]
+#[tokio::test]
+async fn body_far_over_the_limit_is_read_before_it_is_rejected(#[case] length: usize, #[case] framing: &str) {
+    let address = serve(answer_commands).await;
+    let mut stream = TcpStream::connect(address).await.expect("cannot connect to the listener");
+    let head =
+        format!("PUT /config HTTP/1.1\r\nHost: x\r\nIf-Match: 7\r\nConnection: close\r\n{framing}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("cannot write the head");
+    let is_chunked = framing.ends_with("chunked");
+    let (before, after) =
+        if is_chunked { (format!("{length:x}\r\n"), "\r\n0\r\n\r\n") } else { (String::new(), "") };
+    let body = [before.into_bytes(), vec![b' '; length], after.as_bytes().to_vec()].concat();
+    stream.write_all(&body).await.expect("the body is read");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("the response is not lost");
+    assert!(answer.starts_with("HTTP/1.1 413 ") && answer.contains("too_large"), "{answer}");
+}
+
 #[tokio::test]
 async fn metrics_have_the_openmetrics_content_type() {
     let answer = call("GET /metrics HTTP/1.1", &[]).await;
