Judge drawn responses of servers by a reader that shares no code with the proxy

The soak's strict reader moves to the emulator, as StrictReader, and also judges a new test of the proxy: responses drawn from the grammar of RFC 9110 and 9112, a third valid but unusual, a third with a spoilt production, a third cut off at any byte by FIN or RST, on new and kept connections, with interim responses, for routes that buffer and for routes that stream. A model says for each what the client may get.

Bytes above 0x7F in a head were malformed to the first form of the reader, and are opaque now.

Not drawn yet: responses before the request is written, event streams, prefill and decode.

--- a/crates/soak/src/response_reader.rs
+++ b/crates/emulator/src/client/strict_reader.rs
@@ -1,10 +1,10 @@
 //! A strict reader of the responses that the proxy sends to HTTP/1.1 clients, which shares no code with the
-//! proxy.
+//! proxy or with [`crate::wire`].
 //!
 //! It accepts what RFC 9110 and RFC 9112 require of a sender: `CRLF` at the end of each line, a final status,
 //! field names that are tokens, and exactly one framing of the body.
 
-use lugwharf_emulator::wire::Headers;
+use crate::wire::Headers;
 use tokio::io::{AsyncRead, AsyncReadExt};
 
 /// The maximum size of a head or of a chunk-size line, in bytes.
@@ -40,15 +40,15 @@
 }
 
 /// Reads the responses on one connection.
-pub struct ResponseReader<R> {
+pub struct StrictReader<R> {
     stream: R,
     buffer: Vec<u8>,
 }
 
-impl<R: AsyncRead + Unpin> ResponseReader<R> {
+impl<R: AsyncRead + Unpin> StrictReader<R> {
     /// Creates a reader of the responses on a connection.
-    pub fn new(stream: R) -> ResponseReader<R> {
-        ResponseReader { stream, buffer: Vec::new() }
+    pub fn new(stream: R) -> StrictReader<R> {
+        StrictReader { stream, buffer: Vec::new() }
     }
 
     /// Reads the head of the next response.
@@ -119,7 +119,8 @@
 }
 
 fn parse_head(head: &[u8]) -> Result<ResponseHead, ReadError> {
-    let head = std::str::from_utf8(head).map_err(|_| ReadError::Malformed("a head is not UTF-8"))?;
+    // Bytes above 0x7F are opaque (RFC 9110, section 5.5), so each becomes a character.
+    let head: String = head.iter().copied().map(char::from).collect();
     let mut lines = head.split("\r\n");
     let status = parse_status(lines.next().unwrap_or_default())?;
     let mut headers = Headers::new();
@@ -127,7 +128,7 @@
         let (name, value) = parse_field(line)?;
         headers.push(name, value);
     }
-    let body = parse_framing(&headers)?;
+    let body = parse_framing(status, &headers)?;
     Ok(ResponseHead { status, headers, body })
 }
 
@@ -152,9 +153,10 @@
     Ok((name, value))
 }
 
-fn parse_framing(headers: &Headers) -> Result<RemainingBody, ReadError> {
+fn parse_framing(status: u16, headers: &Headers) -> Result<RemainingBody, ReadError> {
     let count = |wanted: &str| headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case(wanted)).count();
     match (count("content-length"), count("transfer-encoding")) {
+        (_, 0) if matches!(status, 204 | 304) => Ok(RemainingBody::Length(0)),
         (1, 0) => {
             let length = headers.get("content-length").and_then(|length| length.parse().ok());
             length.map(RemainingBody::Length).ok_or(ReadError::Malformed("invalid length"))
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -8,10 +8,12 @@
 //! | `messages` | the text of requests and responses |
 //! | `prefill` | the prefill phase of a generation, and KV handles |
 //! | `clock` | stopping and advancing the clock |
+//! | `grammar` | responses of a server, drawn from the grammar of HTTP |
 #![allow(dead_code, unused_imports, reason = "each test binary uses a part of it")]
 
 pub mod clock;
 mod connection;
+pub mod grammar;
 mod harness;
 mod messages;
 pub mod prefill;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,7 +14,7 @@
 //! | `timeline` | runs a schedule |
 //! | `fault_injection`, `link_faults`, `startup_faults` | inject a fault and recover from it |
 //! | `traffic` | the client load |
-//! | `persistent_clients`, `response_reader` | clients that use each connection until it is gone; their strict reader |
+//! | `persistent_clients` | clients that use each connection until it is gone, and read responses strictly |
 //! | `operators`, `operator_log` | writes, concurrent writes, resends and reads of configurations; their log |
 //! | `process_monitor` | exits, metrics and resource use of the processes during a run |
 //! | `recovery` | the conditions that must hold once all faults are over |
@@ -44,9 +44,6 @@
 mod report;
 #[cfg(test)]
 mod report_tests;
-mod response_reader;
-#[cfg(test)]
-mod response_reader_tests;
 mod run_log;
 #[cfg(test)]
 mod run_log_tests;
--- a/crates/soak/src/persistent_clients.rs
+++ b/crates/soak/src/persistent_clients.rs
@@ -5,9 +5,10 @@
 //! when a response announces the close of the connection.
 
 use crate::configuration::HOST;
-use crate::response_reader::{ReadError, ResponseReader};
 use crate::traffic::{Attempt, Behaviour};
-use lugwharf_emulator::client::{AttemptEnd, ClientRequest, FailedCheck, RequestKind};
+use lugwharf_emulator::client::{
+    AttemptEnd, ClientRequest, FailedCheck, ReadError, RequestKind, StrictReader,
+};
 use lugwharf_emulator::events::EventParser;
 use lugwharf_emulator::header_names;
 use lugwharf_emulator::host::Environment;
@@ -117,7 +118,7 @@
 /// One connection of a client.
 struct PersistentConnection<'a> {
     context: &'a ClientContext,
-    reader: ResponseReader<OwnedReadHalf>,
+    reader: StrictReader<OwnedReadHalf>,
     write: OwnedWriteHalf,
     /// The requests that wait for their responses.
     waiting: VecDeque<Attempt>,
@@ -131,7 +132,7 @@
         let (read, write) = stream.into_split();
         let requests = Vec::new();
         let ledger = ConnectionLedger { front, announced_close_at: None, ended_at: None, requests };
-        let (reader, waiting) = (ResponseReader::new(read), VecDeque::new());
+        let (reader, waiting) = (StrictReader::new(read), VecDeque::new());
         PersistentConnection { context, reader, write, waiting, ledger }
     }
 
